--- /dev/null
+++ b/samphiresill-standins/src/http.rs
@@ -0,0 +1,88 @@
+//! What the stand-ins share of HTTP: listening, JSON bodies and chunked streams.
+
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use anyhow::Context;
+use tiny_http::{Header, Request, Response, Server};
+
+/// Writer of a streamed answer; each write is flushed to the caller by [`send`].
+pub type Stream = chunked_transfer::Encoder<Box<dyn Write + Send>>;
+
+/// Listens on `address` and serves each request in a thread of its own, for ever.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn serve(
+    address: SocketAddr,
+    handle: impl Fn(Request) + Send + Sync + 'static,
+) -> anyhow::Result<()> {
+    let socket = socket2::Socket::new(
+        socket2::Domain::for_address(address),
+        socket2::Type::STREAM,
+        None,
+    )?;
+    socket.set_reuse_address(true)?;
+    // Accepted sockets inherit the option, so that small chunks leave at once.
+    socket.set_tcp_nodelay(true)?;
+    socket.bind(&address.into()).with_context(|| format!("cannot bind {address}"))?;
+    socket.listen(1024)?;
+    let server = Server::from_listener(std::net::TcpListener::from(socket), None)
+        .map_err(|e| anyhow::anyhow!("cannot listen on {address}: {e}"))?;
+    let handle = Arc::new(handle);
+    for req in server.incoming_requests() {
+        let handle = Arc::clone(&handle);
+        thread::spawn(move || handle(req));
+    }
+    Ok(())
+}
+
+/// The value of a request's header.
+#[must_use]
+pub fn header(req: &Request, name: &str) -> Option<String> {
+    let found = req.headers().iter().find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
+    found.map(|h| h.value.as_str().to_owned())
+}
+
+/// The whole body of a request.
+#[must_use]
+pub fn body(req: &mut Request) -> String {
+    let mut text = String::new();
+    // A body that breaks off is treated as what had arrived of it.
+    let _ = req.as_reader().read_to_string(&mut text);
+    text
+}
+
+/// Answers with a JSON body.
+pub fn respond(req: Request, status: u16, body: &serde_json::Value) {
+    let header = Header::from_bytes("Content-Type", "application/json").expect("a valid header");
+    let response = Response::from_string(body.to_string())
+        .with_status_code(status)
+        .with_header(header);
+    // The caller may be gone; there is nobody left to tell.
+    let _ = req.respond(response);
+}
+
+/// Starts a streamed answer of server-sent events.
+///
+/// # Errors
+/// When the caller is gone.
+pub fn start_stream(req: Request) -> std::io::Result<Stream> {
+    let mut writer = req.into_writer();
+    writer.write_all(
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+          Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
+    )?;
+    writer.flush()?;
+    Ok(chunked_transfer::Encoder::with_flush_after_write(writer))
+}
+
+/// Sends one piece of a streamed answer.
+///
+/// # Errors
+/// When the caller is gone.
+pub fn send(stream: &mut Stream, text: &str) -> std::io::Result<()> {
+    stream.write_all(text.as_bytes())
+}
