Add the request path: front, attempts, engines, services and the configuration log

A router process takes a caller's request over HTTP, gets a slot from its own scheduler and streams the answer of a target process. Not measured yet.

--- a/samphiresill-core/src/outcome.rs
+++ b/samphiresill-core/src/outcome.rs
@@ -48,6 +48,9 @@
     /// The router is stopping or has no configuration yet.
     #[display("router_unavailable")]
     RouterUnavailable,
+    /// The caller went away before its request was started.
+    #[display("caller_gone")]
+    CallerGone,
     /// No target serves this work at present.
     #[display("no_target")]
     NoTarget,
@@ -77,7 +80,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::InvalidKey => 401,
-            Self::InvalidRequest => 400,
+            Self::InvalidRequest | Self::CallerGone => 400,
             Self::NotFound | Self::ModelNotFound => 404,
             Self::BodyTooLarge => 413,
             Self::BodyTimeout => 408,
--- /dev/null
+++ b/samphiresill-platform/src/http.rs
@@ -0,0 +1,99 @@
+//! The platform's interface over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use attohttpc::{Method, ProxySettings, RequestBuilder};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use crate::table::{Error, Result, Row, Table, Transaction};
+use crate::vms::Vm;
+
+/// `Platform` calls the platform at one address, each call on a connection of its own.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl Platform {
+    /// Makes a client whose calls end within `timeout`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self { address, timeout }
+    }
+
+    /// Reads the list of VMs.
+    ///
+    /// # Errors
+    /// `Refused` or `NoReply`.
+    pub fn vms(&self) -> Result<Vec<Vm>> {
+        self.call(self.request(Method::GET, "/v1/vms"), String::new())
+    }
+
+    /// Puts an object into the object store.
+    ///
+    /// # Errors
+    /// `Refused` or `NoReply`.
+    pub fn put_object(&self, key: &str, value: String) -> Result<()> {
+        let path = format!("/v1/objects/{key}");
+        self.call::<serde_json::Value>(self.request(Method::PUT, &path), value).map(drop)
+    }
+
+    /// Reads an object; nothing when it is absent.
+    ///
+    /// # Errors
+    /// `Refused` or `NoReply`.
+    pub fn get_object(&self, key: &str) -> Result<Option<String>> {
+        let path = format!("/v1/objects/{key}");
+        let call = self.call::<serde_json::Value>(self.request(Method::GET, &path), String::new());
+        match call {
+            Ok(object) => Ok(object["value"].as_str().map(str::to_owned)),
+            Err(Error::Refused { status: 404 }) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        RequestBuilder::new(method, format!("http://{}{path}", self.address))
+            .proxy_settings(ProxySettings::builder().build())
+            .follow_redirects(false)
+            .connect_timeout(self.timeout)
+            .read_timeout(self.timeout)
+            .timeout(self.timeout)
+    }
+
+    fn post<T: DeserializeOwned>(&self, path: &str, body: &serde_json::Value) -> Result<T> {
+        self.call(self.request(Method::POST, path), body.to_string())
+    }
+
+    fn call<T: DeserializeOwned>(&self, req: RequestBuilder, body: String) -> Result<T> {
+        let no_reply = |cause: String| Error::NoReply { cause };
+        let response = req.text(body).send().map_err(|e| no_reply(e.to_string()))?;
+        let status = response.status().as_u16();
+        let text = response.text().map_err(|e| no_reply(e.to_string()))?;
+        match status {
+            200 => serde_json::from_str(&text).map_err(|e| no_reply(e.to_string())),
+            409 => {
+                let answer: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+                Err(Error::Conflict { key: answer["failed"].as_str().unwrap_or("").to_owned() })
+            }
+            status => Err(Error::Refused { status }),
+        }
+    }
+}
+
+impl Table for Platform {
+    fn transact(&self, transaction: &Transaction) -> Result<()> {
+        self.post::<serde_json::Value>("/v1/transaction", &json!(transaction)).map(drop)
+    }
+
+    fn get(&self, keys: &[String]) -> Result<Vec<Row>> {
+        self.post("/v1/get", &json!(keys))
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
+        self.post("/v1/scan", &json!({"prefix": prefix, "after": after, "limit": limit}))
+    }
+}
--- /dev/null
+++ b/samphiresill/src/front/openai.rs
@@ -0,0 +1,232 @@
+//! The requests and answers of OpenAI's interface for completions.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use samphiresill_core::name::{RequestId, WorkName};
+use samphiresill_core::outcome::Refusal;
+use samphiresill_core::units::Tokens;
+use serde_json::{Value, json};
+
+use super::answer;
+
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Prompt tokens that weigh as much as one generated token.
+const PROMPT_TOKENS_PER_TOKEN: usize = 10;
+/// Tokens that a request without a limit may generate.
+const DEFAULT_MAX_TOKENS: u64 = 4_096;
+/// Largest limit on generated tokens that a request may give.
+const LARGEST_MAX_TOKENS: u64 = 1_000_000;
+
+/// `Endpoint` is which of the two interfaces a caller uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endpoint {
+    /// `/v1/chat/completions`
+    Chat,
+    /// `/v1/completions`
+    Text,
+}
+
+/// `ModelCall` is a caller's request to a model.
+#[derive(Clone, Debug)]
+pub struct ModelCall {
+    /// The model.
+    pub model: WorkName,
+    /// Most tokens that may be generated.
+    pub max_tokens: u64,
+    /// Whether a second run must give the same text.
+    pub is_deterministic: bool,
+    endpoint: Endpoint,
+    prompt_bytes: usize,
+    is_stream: bool,
+    body: Value,
+}
+
+impl ModelCall {
+    /// Reads a request's body.
+    ///
+    /// # Errors
+    /// What is wrong with it, for the caller.
+    pub fn parse(endpoint: Endpoint, body: &[u8]) -> Result<Self, String> {
+        let value: Value =
+            serde_json::from_slice(body).map_err(|e| format!("The body is not JSON: {e}."))?;
+        let model = value["model"].as_str().ok_or("'model' must be a string.")?.into();
+        let prompt_bytes = match endpoint {
+            Endpoint::Chat => check_messages(&value["messages"])?,
+            Endpoint::Text => value["prompt"].as_str().ok_or("'prompt' must be a string.")?.len(),
+        };
+        let is_stream = match &value["stream"] {
+            Value::Null => false,
+            Value::Bool(b) => *b,
+            _ => return Err("'stream' must be true or false.".into()),
+        };
+        let is_deterministic = value["temperature"].as_f64() == Some(0.0);
+        let max_tokens = max_tokens(&value)?;
+        let mut body = value;
+        body["stream"] = Value::Bool(true);
+        body["max_tokens"] = max_tokens.into();
+        Ok(Self { model, max_tokens, is_deterministic, endpoint, prompt_bytes, is_stream, body })
+    }
+
+    /// The path at the engine.
+    #[must_use]
+    pub fn path(&self) -> &'static str {
+        match self.endpoint {
+            Endpoint::Chat => "/v1/chat/completions",
+            Endpoint::Text => "/v1/completions",
+        }
+    }
+
+    /// The body for the engine, which always streams.
+    #[must_use]
+    pub fn body(&self) -> String {
+        self.body.to_string()
+    }
+
+    /// Service that reading the prompt counts as.
+    #[must_use]
+    pub fn prompt_cost(&self) -> Tokens {
+        Tokens((self.prompt_tokens() / PROMPT_TOKENS_PER_TOKEN) as u64)
+    }
+
+    /// The most that the request can cost.
+    #[must_use]
+    pub fn cost_limit(&self) -> Tokens {
+        self.prompt_cost() + Tokens(self.max_tokens)
+    }
+
+    /// How its answer has to look.
+    #[must_use]
+    pub fn format(&self, request: &RequestId, created_s: u64) -> Format {
+        Format {
+            is_stream: self.is_stream,
+            endpoint: self.endpoint,
+            id: request.clone(),
+            model: self.model.clone(),
+            created_s,
+            prompt_tokens: self.prompt_tokens(),
+            max_tokens: self.max_tokens,
+        }
+    }
+
+    fn prompt_tokens(&self) -> usize {
+        self.prompt_bytes.div_ceil(BYTES_PER_TOKEN)
+    }
+}
+
+fn check_messages(messages: &Value) -> Result<usize, String> {
+    let list = messages.as_array().filter(|l| !l.is_empty());
+    let list = list.ok_or("'messages' must be a list with at least one message.")?;
+    let mut bytes = 0;
+    for (index, message) in list.iter().enumerate() {
+        if !message["role"].is_string() {
+            return Err(format!("'messages[{index}].role' must be a string."));
+        }
+        bytes += match &message["content"] {
+            Value::String(text) => text.len(),
+            parts @ Value::Array(_) => parts.to_string().len(),
+            _ => return Err(format!("'messages[{index}].content' must be a string or a list.")),
+        };
+    }
+    Ok(bytes)
+}
+
+fn max_tokens(value: &Value) -> Result<u64, String> {
+    let given = ["max_completion_tokens", "max_tokens"].iter().find(|k| !value[**k].is_null());
+    let Some(key) = given else { return Ok(DEFAULT_MAX_TOKENS) };
+    let number = value[*key].as_u64().filter(|n| (1..=LARGEST_MAX_TOKENS).contains(n));
+    number.ok_or_else(|| format!("'{key}' must be a whole number from 1 to {LARGEST_MAX_TOKENS}."))
+}
+
+/// `Format` makes the parts of one answer.
+#[derive(Clone, Debug)]
+pub struct Format {
+    /// Whether the caller wants pieces as they come.
+    pub is_stream: bool,
+    endpoint: Endpoint,
+    id: RequestId,
+    model: WorkName,
+    created_s: u64,
+    prompt_tokens: usize,
+    max_tokens: u64,
+}
+
+impl Format {
+    /// One piece of text as an event.
+    #[must_use]
+    pub fn piece(&self, text: &str) -> Bytes {
+        let choice = match self.endpoint {
+            Endpoint::Chat => json!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
+            Endpoint::Text => json!({"index": 0, "text": text, "finish_reason": null}),
+        };
+        self.event(choice)
+    }
+
+    /// The end of a whole stream.
+    #[must_use]
+    pub fn end(&self, tokens: usize) -> Bytes {
+        let reason = self.finish_reason(tokens);
+        let choice = match self.endpoint {
+            Endpoint::Chat => json!({"index": 0, "delta": {}, "finish_reason": reason}),
+            Endpoint::Text => json!({"index": 0, "text": "", "finish_reason": reason}),
+        };
+        [&self.event(choice)[..], b"data: [DONE]\n\n"].concat().into()
+    }
+
+    /// The end of a stream that is not whole.
+    #[must_use]
+    pub fn error(&self, refusal: Refusal) -> Bytes {
+        let body = answer::error_body(refusal, "");
+        format!("event: error\ndata: {body}\n\n").into()
+    }
+
+    /// An answer that is not streamed.
+    #[must_use]
+    pub fn whole(&self, text: &str, tokens: usize) -> String {
+        let reason = self.finish_reason(tokens);
+        let (object, choice) = match self.endpoint {
+            Endpoint::Chat => (
+                "chat.completion",
+                json!({"index": 0, "message": {"role": "assistant", "content": text},
+                       "finish_reason": reason}),
+            ),
+            Endpoint::Text => {
+                ("text_completion", json!({"index": 0, "text": text, "finish_reason": reason}))
+            }
+        };
+        json!({
+            "id": self.id, "object": object, "created": self.created_s, "model": self.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.prompt_tokens, "completion_tokens": tokens,
+                "total_tokens": self.prompt_tokens + tokens,
+            }
+        })
+        .to_string()
+    }
+
+    fn event(&self, choice: Value) -> Bytes {
+        let object = match self.endpoint {
+            Endpoint::Chat => "chat.completion.chunk",
+            Endpoint::Text => "text_completion",
+        };
+        let data = json!({
+            "id": self.id, "object": object, "created": self.created_s, "model": self.model,
+            "choices": [choice],
+        });
+        format!("data: {data}\n\n").into()
+    }
+
+    fn finish_reason(&self, tokens: usize) -> &'static str {
+        if tokens as u64 >= self.max_tokens { "length" } else { "stop" }
+    }
+}
+
+/// The list of models.
+#[must_use]
+pub fn model_list(models: &BTreeSet<WorkName>) -> String {
+    let entry = |m: &WorkName| json!({"id": m, "object": "model", "owned_by": "samphiresill"});
+    let data: Vec<Value> = models.iter().map(entry).collect();
+    json!({"object": "list", "data": data}).to_string()
+}
--- /dev/null
+++ b/samphiresill/src/operations/mod.rs
@@ -0,0 +1,48 @@
+//! The address for the balancer's checks and the collection of metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::anyhow;
+use tiny_http::{Request, Response, Server};
+
+use crate::shared::Shared;
+
+/// Serves `/healthz`, `/readyz` and `/metrics` in a thread of its own.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn start(address: SocketAddr, shared: Arc<Shared>) -> anyhow::Result<()> {
+    let server = Server::http(address).map_err(|e| anyhow!("cannot listen on {address}: {e}"))?;
+    std::thread::Builder::new().name("operations".into()).spawn(move || {
+        for req in server.incoming_requests() {
+            answer(&shared, req);
+        }
+    })?;
+    Ok(())
+}
+
+fn answer(shared: &Shared, req: Request) {
+    let gauges = shared.dispatcher.gauges();
+    let (status, text) = match req.url() {
+        "/healthz" => (200, "ok\n".to_owned()),
+        "/readyz" if shared.is_ready() => (200, "ready\n".to_owned()),
+        "/readyz" => (503, "not ready\n".to_owned()),
+        "/metrics" => {
+            use std::sync::atomic::Ordering::Relaxed;
+            let state = format!(
+                "samphiresill_waiting {}\nsamphiresill_running {}\nsamphiresill_pools {}\n\
+                 samphiresill_config_revision {}\nsamphiresill_at_work {}\n",
+                gauges.waiting.load(Relaxed),
+                gauges.running.load(Relaxed),
+                gauges.pools.load(Relaxed),
+                shared.config.current().revision,
+                shared.at_work(),
+            );
+            (200, shared.metrics.text() + &state)
+        }
+        _ => (404, "no such path\n".to_owned()),
+    };
+    // A checker that is gone does not need its answer.
+    let _ = req.respond(Response::from_string(text).with_status_code(status));
+}
