--- /dev/null
+++ b/samphiresill-experiment/src/fairness/mod.rs
@@ -0,0 +1,186 @@
+//! Fairness over the fleet: the product's decisions beside baselines and an ideal queue.
+
+mod case;
+mod deployment;
+mod measure;
+mod policy;
+mod world;
+
+use std::time::Duration;
+
+use anyhow::Context;
+use getopts::Options as Spec;
+use samphiresill_sched::options::Options;
+use serde::Serialize;
+
+use case::{Case, LENGTH, NAMES};
+use deployment::{Deployment, MAX_COST};
+use policy::Policy;
+use policy::fixed::Fixed;
+use policy::granted::Granted;
+use policy::ideal::{Charge, Ideal};
+use world::World;
+
+/// Intervals between reports that the product's way is run with, in milliseconds.
+const INTERVALS_MS: [u64; 3] = [250, 1_000, 4_000];
+
+/// `Line` is one result.
+#[derive(Debug, Serialize)]
+struct Line {
+    policy: String,
+    deployment: &'static str,
+    case: &'static str,
+    seed: u64,
+    gap: f64,
+    gap_bound: f64,
+    gap_ratio_to_ideal: f64,
+    idle_share: f64,
+    quick_wait_p50_ms: Option<f64>,
+    quick_wait_p95_ms: Option<f64>,
+    control_bytes_per_node_s: f64,
+    control_messages_per_node_s: f64,
+}
+
+/// Runs the command.
+pub fn command(args: &[String]) -> anyhow::Result<()> {
+    let mut spec = Spec::new();
+    spec.optflag("h", "help", "print this help");
+    spec.optopt("", "deployment", "brandvold, amren or all (all)", "NAME");
+    spec.optopt("", "case", &format!("{} or all (all)", NAMES.join(", ")), "NAME");
+    spec.optopt("", "policy", "only policies whose name begins so", "PREFIX");
+    spec.optopt("", "seed", "first seed (1)", "N");
+    spec.optopt("", "seeds", "number of seeds (1)", "N");
+    spec.optflag("", "json", "print one JSON object a line");
+    let given = spec.parse(args)?;
+    if given.opt_present("help") {
+        print!("{}", spec.usage("Usage: samphiresill-experiment fairness [OPTIONS]"));
+        return Ok(());
+    }
+    let seed: u64 = given.opt_get_default("seed", 1).context("--seed")?;
+    let seeds: u64 = given.opt_get_default("seeds", 1).context("--seeds")?;
+    let is_json = given.opt_present("json");
+    let prefix = given.opt_str("policy").unwrap_or_default();
+    if !is_json {
+        print_header();
+    }
+    for deployment in deployments(given.opt_str("deployment").as_deref())? {
+        for case in cases(given.opt_str("case").as_deref(), &deployment)? {
+            for seed in seed..seed + seeds {
+                run_case(&deployment, &case, seed, &prefix, is_json)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn deployments(name: Option<&str>) -> anyhow::Result<Vec<Deployment>> {
+    let names = match name {
+        None | Some("all") => vec!["brandvold", "amren"],
+        Some(name) => vec![name],
+    };
+    let find = |n: &str| Deployment::named(n).with_context(|| format!("no deployment {n:?}"));
+    names.into_iter().map(find).collect()
+}
+
+fn cases(name: Option<&str>, deployment: &Deployment) -> anyhow::Result<Vec<Case>> {
+    let names = match name {
+        None | Some("all") => NAMES.to_vec(),
+        Some(name) => vec![name],
+    };
+    let find = |n: &str| Case::named(n, deployment).with_context(|| format!("no case {n:?}"));
+    names.into_iter().map(find).collect()
+}
+
+fn run_case(
+    deployment: &Deployment,
+    case: &Case,
+    seed: u64,
+    prefix: &str,
+    is_json: bool,
+) -> anyhow::Result<()> {
+    let ideal = run(deployment, case, Box::new(Ideal::new(deployment, Charge::Progress)), seed);
+    let ideal_gap = ideal.gap;
+    let mut policies: Vec<Box<dyn Policy>> =
+        vec![Box::new(Ideal::new(deployment, Charge::Estimate))];
+    for interval in INTERVALS_MS {
+        let opts = Options::with_interval(Duration::from_millis(interval));
+        policies.push(Box::new(Granted::new(deployment, opts, case.message_faults, seed)));
+    }
+    policies.push(Box::new(Fixed::new(deployment, true)));
+    policies.push(Box::new(Fixed::new(deployment, false)));
+    let wanted = policies.into_iter().filter(|p| p.name().starts_with(prefix));
+    if "ideal".starts_with(prefix) {
+        print(&ideal, is_json)?;
+    }
+    for policy in wanted {
+        let mut line = run(deployment, case, policy, seed);
+        line.gap_ratio_to_ideal = line.gap / ideal_gap;
+        print(&line, is_json)?;
+    }
+    Ok(())
+}
+
+fn run(deployment: &Deployment, case: &Case, policy: Box<dyn Policy + '_>, seed: u64) -> Line {
+    let name = policy.name();
+    let (mut measure, (bytes, messages)) = World::new(deployment, case, policy, seed).run();
+    let node_seconds = deployment.routers.len() as f64 * LENGTH.as_secs_f64();
+    Line {
+        gap_bound: gap_bound(deployment, case, &name),
+        policy: name,
+        deployment: deployment.name,
+        case: case.name,
+        seed,
+        gap: measure.gap,
+        gap_ratio_to_ideal: 1.0,
+        idle_share: measure.idle_share(),
+        quick_wait_p50_ms: measure.quick_wait_ms(0.5),
+        quick_wait_p95_ms: measure.quick_wait_ms(0.95),
+        control_bytes_per_node_s: bytes as f64 / node_seconds,
+        control_messages_per_node_s: messages as f64 / node_seconds,
+    }
+}
+
+/// The bound that follows from the design, in tokens per unit of share: twice the largest
+/// request for an ideal queue, and for the fleet what it serves until a report counts.
+fn gap_bound(deployment: &Deployment, case: &Case, policy: &str) -> f64 {
+    let smallest_share = deployment.shares.iter().map(|(_, s)| s.as_f64()).fold(f64::MAX, f64::min);
+    let ideal = 2.0 * MAX_COST as f64 / smallest_share;
+    let interval = INTERVALS_MS.iter().find(|i| policy == format!("granted-{i}ms"));
+    let Some(interval) = interval else { return ideal };
+    let factor = case.rate_factors.iter().copied().fold(0.0, f64::max);
+    // A report and a summary have to pass before service counts everywhere.
+    let delay_s = 2.0 * *interval as f64 / 1_000.0 + 0.01;
+    ideal + deployment.rate() * factor * delay_s / smallest_share
+}
+
+fn print_header() {
+    println!(
+        "{:10} {:9} {:4} {:16} {:>8} {:>8} {:>6} {:>7} {:>8} {:>8} {:>8} {:>7}",
+        "deployment", "case", "seed", "policy", "gap", "bound", "ratio", "idle %", "quick50", "quick95",
+        "B/node/s", "msg/n/s"
+    );
+}
+
+fn print(line: &Line, is_json: bool) -> anyhow::Result<()> {
+    if is_json {
+        println!("{}", serde_json::to_string(line)?);
+        return Ok(());
+    }
+    let wait = |w: Option<f64>| w.map_or_else(|| "-".into(), |w| format!("{w:.0}"));
+    println!(
+        "{:10} {:9} {:4} {:16} {:8.0} {:8.0} {:6.2} {:7.3} {:>8} {:>8} {:8.0} {:7.1}",
+        line.deployment,
+        line.case,
+        line.seed,
+        line.policy,
+        line.gap,
+        line.gap_bound,
+        line.gap_ratio_to_ideal,
+        line.idle_share * 100.0,
+        wait(line.quick_wait_p50_ms),
+        wait(line.quick_wait_p95_ms),
+        line.control_bytes_per_node_s,
+        line.control_messages_per_node_s,
+    );
+    Ok(())
+}
--- /dev/null
+++ b/samphiresill-experiment/src/fairness/world.rs
@@ -0,0 +1,312 @@
+//! Customers, requests and targets over virtual time: what every policy is run in.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use samphiresill_core::units::Tokens;
+
+use super::case::{Arrivals, Case, Fault, LENGTH, Load};
+use super::deployment::Deployment;
+use super::measure::Measure;
+use super::policy::{Decision, Offer, Policy};
+
+/// Time until a caller whose router died sends its request again.
+const CALLER_RETRY: Duration = Duration::from_millis(100);
+/// Time between two looks at the gap.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Requests that wait at a router for a customer with a short backlog.
+const SHORT_DEPTH: usize = 6;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Done { number: usize, run: u64 },
+    Arrive { customer: usize },
+    Resubmit { customer: usize, router: usize },
+    Fault(usize),
+    Refill,
+    Sample,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    customer: usize,
+    router: usize,
+    cost: u64,
+    arrived: Duration,
+    running: Option<(usize, Duration, u64)>,
+}
+
+/// `World` is one run of one policy.
+pub struct World<'a> {
+    deployment: &'a Deployment,
+    case: &'a Case,
+    rates: Vec<f64>,
+    policy: Box<dyn Policy + 'a>,
+    rng: StdRng,
+    happenings: BinaryHeap<Reverse<(Duration, u64, Happening)>>,
+    next: u64,
+    requests: BTreeMap<usize, Request>,
+    next_request: usize,
+    /// Requests at each target: running ones, and ones that came beyond its slots.
+    running: Vec<usize>,
+    queued: Vec<VecDeque<usize>>,
+    waiting: BTreeMap<(usize, usize), usize>,
+    ended: Vec<u64>,
+    measure: Measure,
+}
+
+impl<'a> World<'a> {
+    /// Prepares a run.
+    pub fn new(
+        deployment: &'a Deployment,
+        case: &'a Case,
+        policy: Box<dyn Policy + 'a>,
+        seed: u64,
+    ) -> Self {
+        let rates = deployment.sites.iter().zip(&case.rate_factors).map(|(s, f)| s.rate * f);
+        Self {
+            deployment,
+            case,
+            rates: rates.collect(),
+            policy,
+            rng: StdRng::seed_from_u64(seed),
+            happenings: BinaryHeap::new(),
+            next: 0,
+            requests: BTreeMap::new(),
+            next_request: 0,
+            running: vec![0; deployment.sites.len()],
+            queued: vec![VecDeque::new(); deployment.sites.len()],
+            waiting: BTreeMap::new(),
+            ended: vec![0; deployment.shares.len()],
+            measure: Measure::new(deployment, case),
+        }
+    }
+
+    /// Runs to the end, and gives what was measured.
+    pub fn run(mut self) -> (Measure, (u64, u64)) {
+        self.at(Duration::ZERO, Happening::Refill);
+        self.at(SAMPLE_INTERVAL, Happening::Sample);
+        for (index, (when, _)) in self.case.faults.iter().enumerate() {
+            self.at(*when, Happening::Fault(index));
+        }
+        for customer in 0..self.case.loads.len() {
+            if let Arrivals::Poisson { .. } = self.case.loads[customer].arrivals {
+                self.at(Duration::ZERO, Happening::Arrive { customer });
+            }
+        }
+        loop {
+            let own = self.happenings.peek().map(|Reverse((at, _, _))| *at);
+            let policy = self.policy.wakes_at();
+            let Some(now) = own.into_iter().chain(policy).min() else { break };
+            if now > LENGTH {
+                break;
+            }
+            self.note_idle(now);
+            if policy == Some(now) {
+                let requests = &self.requests;
+                let rates = &self.rates;
+                let decisions = self.policy.advance(now, &|n| served(requests, rates, n, now));
+                self.apply(now, decisions);
+            }
+            while let Some(Reverse((at, _, _))) = self.happenings.peek()
+                && *at <= now
+            {
+                let Some(Reverse((_, _, happening))) = self.happenings.pop() else { break };
+                self.happen(now, happening);
+            }
+        }
+        let traffic = self.policy.traffic();
+        (self.measure, traffic)
+    }
+
+    fn at(&mut self, when: Duration, happening: Happening) {
+        self.next += 1;
+        self.happenings.push(Reverse((when, self.next, happening)));
+    }
+
+    fn happen(&mut self, now: Duration, happening: Happening) {
+        match happening {
+            Happening::Done { number, run } => self.done(now, number, run),
+            Happening::Arrive { customer } => {
+                self.submit(now, customer, None);
+                if let Arrivals::Poisson { rate } = self.case.loads[customer].arrivals {
+                    let gap = -self.rng.random_range(f64::EPSILON..1.0f64).ln() / rate;
+                    self.at(now + Duration::from_secs_f64(gap), Happening::Arrive { customer });
+                }
+            }
+            Happening::Resubmit { customer, router } => {
+                self.submit(now, customer, Some(router));
+            }
+            Happening::Fault(index) => {
+                let fault: Fault = self.case.faults[index].1.clone();
+                self.measure.note_fault(now, &fault);
+                let decisions = self.policy.fault(now, &fault);
+                self.apply(now, decisions);
+            }
+            Happening::Refill => {
+                self.refill(now);
+                self.at(now + SAMPLE_INTERVAL, Happening::Refill);
+            }
+            Happening::Sample => {
+                let totals = self.totals(now);
+                self.measure.sample(now, &totals);
+                self.at(now + SAMPLE_INTERVAL, Happening::Sample);
+            }
+        }
+    }
+
+    /// Keeps the backlogs of the customers that have one.
+    fn refill(&mut self, now: Duration) {
+        for customer in 0..self.case.loads.len() {
+            let depth = match self.case.loads[customer].arrivals {
+                Arrivals::Backlogged { depth } => depth,
+                Arrivals::BackloggedFrom { start } if now >= start => SHORT_DEPTH,
+                Arrivals::RestsBetween { from, to } if now < from || now >= to => SHORT_DEPTH,
+                _ => 0,
+            };
+            for router in self.case.loads[customer].routers.clone() {
+                let waiting = self.waiting.get(&(customer, router)).copied().unwrap_or(0);
+                for _ in waiting..depth {
+                    self.submit(now, customer, Some(router));
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, now: Duration, customer: usize, router: Option<usize>) {
+        let load: &Load = &self.case.loads[customer];
+        let router = router
+            .unwrap_or_else(|| load.routers[self.rng.random_range(0..load.routers.len())]);
+        let spread = (load.max_cost as f64 / load.min_cost as f64).ln();
+        let cost = (load.min_cost as f64 * (spread * self.rng.random::<f64>()).exp()) as u64;
+        let number = self.next_request;
+        self.next_request += 1;
+        let request = Request { customer, router, cost, arrived: now, running: None };
+        self.requests.insert(number, request);
+        *self.waiting.entry((customer, router)).or_default() += 1;
+        let offer = Offer {
+            number,
+            customer,
+            name: self.deployment.shares[customer].0.clone(),
+            router,
+            limit: Tokens(load.hint.unwrap_or(load.max_cost)),
+            is_quick: load.is_quick,
+        };
+        let (requests, rates) = (&self.requests, &self.rates);
+        let decisions = self.policy.submit(now, offer, &|n| served(requests, rates, n, now));
+        self.apply(now, decisions);
+    }
+
+    fn apply(&mut self, now: Duration, decisions: Vec<Decision>) {
+        for decision in decisions {
+            match decision {
+                Decision::Start { number, target } => {
+                    let request = &self.requests[&number];
+                    let place = (request.customer, request.router);
+                    *self.waiting.entry(place).or_default() -= 1;
+                    if self.case.loads[request.customer].is_quick {
+                        self.measure.note_quick_wait(now, request.arrived);
+                    }
+                    if self.running[target] < self.deployment.sites[target].slots as usize {
+                        self.start(now, number, target);
+                    } else {
+                        self.queued[target].push_back(number);
+                    }
+                }
+                Decision::Lost { number } => self.lose(now, number),
+            }
+        }
+    }
+
+    fn start(&mut self, now: Duration, number: usize, target: usize) {
+        self.running[target] += 1;
+        self.next += 1;
+        let run = self.next;
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        request.running = Some((target, now, run));
+        let length = Duration::from_secs_f64(request.cost as f64 / self.rates[target]);
+        self.at(now + length, Happening::Done { number, run });
+    }
+
+    fn done(&mut self, now: Duration, number: usize, run: u64) {
+        let Some(request) = self.requests.get(&number).cloned() else { return };
+        let Some((target, _, current)) = request.running else { return };
+        if current != run {
+            return;
+        }
+        self.requests.remove(&number);
+        self.ended[request.customer] += request.cost;
+        self.free(now, target);
+        let cost = Tokens(request.cost);
+        let (requests, rates) = (&self.requests, &self.rates);
+        let decisions = self.policy.finish(now, number, cost, &|n| served(requests, rates, n, now));
+        self.apply(now, decisions);
+    }
+
+    fn free(&mut self, now: Duration, target: usize) {
+        self.running[target] -= 1;
+        if let Some(next) = self.queued[target].pop_front() {
+            self.start(now, next, target);
+        }
+    }
+
+    /// A router has died with a request: its caller sends it again to another one.
+    fn lose(&mut self, now: Duration, number: usize) {
+        let got = served(&self.requests, &self.rates, number, now);
+        let Some(request) = self.requests.remove(&number) else { return };
+        match request.running {
+            Some((target, _, _)) => {
+                self.ended[request.customer] += got.0;
+                self.free(now, target);
+            }
+            None => {
+                self.queued.iter_mut().for_each(|q| q.retain(|n| *n != number));
+                let place = (request.customer, request.router);
+                let waiting = self.waiting.entry(place).or_default();
+                *waiting = waiting.saturating_sub(1);
+            }
+        }
+        let others = self.deployment.routers_in(&self.deployment.routers[request.router].1);
+        let router = others.into_iter().find(|r| *r != request.router).unwrap_or(request.router);
+        let customer = request.customer;
+        self.at(now + CALLER_RETRY, Happening::Resubmit { customer, router });
+    }
+
+    fn totals(&self, now: Duration) -> Vec<f64> {
+        let mut totals: Vec<f64> = self.ended.iter().map(|t| *t as f64).collect();
+        for (number, request) in &self.requests {
+            totals[request.customer] +=
+                served(&self.requests, &self.rates, *number, now).as_f64();
+        }
+        totals
+    }
+
+    /// Counts the slots that stand idle while requests wait that could run there.
+    fn note_idle(&mut self, now: Duration) {
+        let sites = self.deployment.sites.iter().zip(&self.running);
+        let idle: Vec<(usize, usize)> = sites
+            .enumerate()
+            .map(|(i, (s, running))| (i, s.slots as usize - (*running).min(s.slots as usize)))
+            .filter(|(_, idle)| *idle > 0)
+            .collect();
+        let waiting: Vec<(usize, usize)> =
+            self.waiting.iter().filter(|(_, n)| **n > 0).map(|((_, r), n)| (*r, *n)).collect();
+        self.measure.note_idle(now, self.deployment, &idle, &waiting);
+    }
+}
+
+/// Service that a request has received.
+fn served(
+    requests: &BTreeMap<usize, Request>,
+    rates: &[f64],
+    number: usize,
+    now: Duration,
+) -> Tokens {
+    let Some(request) = requests.get(&number) else { return Tokens(0) };
+    let Some((target, since, _)) = request.running else { return Tokens(0) };
+    let tokens = (now.saturating_sub(since).as_secs_f64() * rates[target]) as u64;
+    Tokens(tokens.min(request.cost))
+}
--- /dev/null
+++ b/samphiresill-experiment/src/main.rs
@@ -0,0 +1,40 @@
+//! Experiments with the fleet's decisions; `--help` lists them.
+
+mod fairness;
+
+use std::process::ExitCode;
+
+/// Exit code for a command line that is not accepted.
+const EXIT_USAGE: u8 = 2;
+
+const HELP: &str = "\
+Usage: samphiresill-experiment COMMAND [OPTIONS]
+
+Commands:
+  fairness   compare the ways to share capacity, on the real decision code
+
+`samphiresill-experiment COMMAND --help` lists the options of a command.
+";
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let (command, rest) = match args.split_first() {
+        Some((command, rest)) => (command.as_str(), rest),
+        None => ("--help", &args[..]),
+    };
+    let result = match command {
+        "fairness" => fairness::command(rest),
+        "--help" | "-h" => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        _ => Err(anyhow::anyhow!("unknown command {command:?}; see --help")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("samphiresill-experiment: {e:#}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
