Let customers take turns when the experiment fills the first queues

Cause: the first customer's whole backlog was placed before the second's arrived, so the ideal queue, which has no delay, started 30,000 tokens a share apart and was still paying that back when measuring began.

--- a/samphiresill-experiment/src/fairness/policy/granted.rs
+++ b/samphiresill-experiment/src/fairness/policy/granted.rs
@@ -317,7 +317,7 @@
                 let running = std::mem::take(&mut self.running_at[*router]);
                 let waiting = std::mem::take(&mut self.waiting_at[*router]);
                 let lost: Vec<usize> = running.into_iter().chain(waiting).collect();
-                lost.iter().for_each(|number| drop(self.placed_at.remove(number)));
+                self.placed_at.retain(|number, _| !lost.contains(number));
                 lost.into_iter().map(|number| Decision::Lost { number }).collect()
             }
             Fault::Pause { router, length } => {
--- a/samphiresill-experiment/src/fairness/world.rs
+++ b/samphiresill-experiment/src/fairness/world.rs
@@ -158,24 +158,35 @@
         }
     }
 
-    /// Keeps the backlogs of the customers that have one.
+    /// Keeps the backlogs of the customers that have one; they take turns, so that none is ahead
+    /// at the start.
     fn refill(&mut self, now: Duration) {
-        for customer in 0..self.case.loads.len() {
-            let depth = match self.case.loads[customer].arrivals {
-                Arrivals::Backlogged { depth } => depth,
-                Arrivals::BackloggedFrom { start } if now >= start => SHORT_DEPTH,
-                Arrivals::RestsBetween { from, to } if now < from || now >= to => SHORT_DEPTH,
-                _ => 0,
-            };
-            for router in self.case.loads[customer].routers.clone() {
-                let waiting = self.waiting.get(&(customer, router)).copied().unwrap_or(0);
-                for _ in waiting..depth {
-                    self.submit(now, customer, Some(router));
-                }
+        loop {
+            let missing = (0..self.case.loads.len()).filter_map(|c| self.missing_at(now, c));
+            let missing: Vec<(usize, usize)> = missing.collect();
+            if missing.is_empty() {
+                return;
+            }
+            for (customer, router) in missing {
+                self.submit(now, customer, Some(router));
             }
         }
     }
 
+    /// A router at which a customer's backlog is not full.
+    fn missing_at(&self, now: Duration, customer: usize) -> Option<(usize, usize)> {
+        let load = &self.case.loads[customer];
+        let depth = match load.arrivals {
+            Arrivals::Backlogged { depth } => depth,
+            Arrivals::BackloggedFrom { start } if now >= start => SHORT_DEPTH,
+            Arrivals::RestsBetween { from, to } if now < from || now >= to => SHORT_DEPTH,
+            _ => 0,
+        };
+        let waiting = |r: &usize| self.waiting.get(&(customer, *r)).copied().unwrap_or(0);
+        let router = load.routers.iter().copied().min_by_key(waiting)?;
+        (waiting(&router) < depth).then_some((customer, router))
+    }
+
     fn submit(&mut self, now: Duration, customer: usize, router: Option<usize>) {
         let load: &Load = &self.case.loads[customer];
         let router = router
