Count the accounts of each life of a scheduler side by side

Cause: a summary from another life of a domain's scheduler replaced what was known of the first, so that with two alive, as after a pause or while views differ, each change of sender counted all service again. Ruled out: over-granting of the targets alone (the case cut has none and was worse than its ideal as well).

--- a/samphiresill-sched/src/ledger.rs
+++ b/samphiresill-sched/src/ledger.rs
@@ -13,9 +13,12 @@
 
 use crate::message::{Account, RunId};
 
-#[derive(Clone, Debug)]
+/// Lives of one domain's scheduler whose accounts are kept; older ones are forgotten.
+const MAX_RUNS_PER_DOMAIN: usize = 4;
+
+/// What one life of another domain's scheduler has told.
+#[derive(Clone, Debug, Default)]
 struct Remote {
-    run: RunId,
     served: BTreeMap<CustomerName, Tokens>,
     outstanding: BTreeMap<CustomerName, Tokens>,
 }
@@ -27,7 +30,7 @@
     virtual_times: BTreeMap<CustomerName, f64>,
     served: BTreeMap<CustomerName, Tokens>,
     outstanding: BTreeMap<CustomerName, Tokens>,
-    remotes: BTreeMap<DomainName, Remote>,
+    remotes: BTreeMap<DomainName, BTreeMap<RunId, Remote>>,
     active: BTreeSet<CustomerName>,
     changed: BTreeSet<CustomerName>,
 }
@@ -105,7 +108,8 @@
     /// customer with the least of it has the next turn.
     #[must_use]
     pub fn charge(&self, customer: &CustomerName) -> f64 {
-        let remote = self.remotes.values().filter_map(|r| r.outstanding.get(customer).copied());
+        let remotes = self.remotes.values().flat_map(BTreeMap::values);
+        let remote = remotes.filter_map(|r| r.outstanding.get(customer).copied());
         let outstanding = self.outstanding(customer) + remote.sum();
         self.virtual_time(customer) + outstanding.as_f64() / self.share(customer)
     }
@@ -123,14 +127,15 @@
         self.active = active;
     }
 
-    /// Takes in the accounts of another domain's pool.
+    /// Takes in the accounts of another domain's pool, as told by one life of its scheduler; two
+    /// that live at once, while views differ, are counted side by side.
     pub fn merge(&mut self, domain: &DomainName, run: RunId, accounts: &[Account]) {
         let mut added = Vec::new();
-        let fresh = || Remote { run, served: BTreeMap::new(), outstanding: BTreeMap::new() };
-        let remote = self.remotes.entry(domain.clone()).or_insert_with(fresh);
-        if remote.run != run {
-            *remote = fresh();
+        let runs = self.remotes.entry(domain.clone()).or_default();
+        if !runs.contains_key(&run) && runs.len() >= MAX_RUNS_PER_DOMAIN {
+            runs.pop_first();
         }
+        let remote = runs.entry(run).or_default();
         remote.outstanding.clear();
         for account in accounts {
             let customer = &account.customer;
@@ -148,19 +153,20 @@
 
     /// Takes over the virtual times of another scheduler, for one that begins with none.
     pub fn adopt(&mut self, domain: &DomainName, run: RunId, accounts: &[Account]) {
-        let mut remote = Remote { run, served: BTreeMap::new(), outstanding: BTreeMap::new() };
+        let mut remote = Remote::default();
         for account in accounts {
             let time = self.virtual_times.entry(account.customer.clone()).or_default();
             *time = time.max(account.virtual_time);
             remote.served.insert(account.customer.clone(), account.served);
             remote.outstanding.insert(account.customer.clone(), account.outstanding);
         }
-        self.remotes.insert(domain.clone(), remote);
+        self.remotes.entry(domain.clone()).or_default().insert(run, remote);
     }
 
-    /// Forgets what another domain has charged in advance, when it is not heard any more.
-    pub fn drop_outstanding(&mut self, domain: &DomainName) {
-        if let Some(remote) = self.remotes.get_mut(domain) {
+    /// Forgets what one life of another domain's scheduler has charged in advance, when it is
+    /// not heard any more.
+    pub fn drop_outstanding(&mut self, domain: &DomainName, run: RunId) {
+        if let Some(remote) = self.remotes.get_mut(domain).and_then(|runs| runs.get_mut(&run)) {
             remote.outstanding.clear();
         }
     }
--- a/samphiresill-sched/src/scheduler/mod.rs
+++ b/samphiresill-sched/src/scheduler/mod.rs
@@ -92,6 +92,8 @@
     held: BTreeMap<GrantId, Held>,
     routers: BTreeMap<VmName, Router>,
     peers: BTreeMap<DomainName, Peer>,
+    /// Lives of other domains' schedulers, with the time of their latest summary and of hearing it.
+    heard_runs: BTreeMap<(DomainName, RunId), (Duration, Duration)>,
     ledger: Ledger,
     last_summary: Option<Duration>,
     told_unmet: BTreeSet<CustomerName>,
@@ -124,6 +126,7 @@
             held: BTreeMap::new(),
             routers: BTreeMap::new(),
             peers: BTreeMap::new(),
+            heard_runs: BTreeMap::new(),
             ledger: Ledger::default(),
             last_summary: None,
             told_unmet: BTreeSet::new(),
@@ -208,16 +211,12 @@
     /// Takes in the summary of the same work's scheduler in another domain.
     pub fn receive_summary(&mut self, now: Duration, summary: &Summary) -> Vec<Outgoing> {
         let domain = &summary.pool.domain;
-        let known = self.peers.get(domain);
-        let silence = known.map(|p| now.saturating_sub(p.heard_at));
-        let is_newer = known.is_none_or(|p| {
-            (p.run == summary.run && p.sent_at < summary.sent_at)
-                || p.run < summary.run
-                || (p.run != summary.run && silence > Some(self.opts.rejoin_silence / 2))
-        });
-        if !is_newer {
+        let run = (domain.clone(), summary.run);
+        if self.heard_runs.get(&run).is_some_and(|(sent_at, _)| *sent_at >= summary.sent_at) {
             return Vec::new();
         }
+        self.heard_runs.insert(run, (summary.sent_at, now));
+        let silence = self.peers.get(domain).map(|p| now.saturating_sub(p.heard_at));
         let is_rejoin = silence.is_none_or(|s| s > self.opts.rejoin_silence);
         self.update_peer(now, summary);
         let is_adoptable = now < self.listen_until && !self.has_adopted;
@@ -332,7 +331,14 @@
         }
     }
 
+    /// Takes the wishes of another domain from the newest life of its scheduler that is heard.
     fn update_peer(&mut self, now: Duration, summary: &Summary) {
+        let is_older = self.peers.get(&summary.pool.domain).is_some_and(|p| {
+            summary.run < p.run && now <= p.heard_at + self.opts.rejoin_silence / 2
+        });
+        if is_older {
+            return;
+        }
         let peer = self.peers.entry(summary.pool.domain.clone()).or_insert_with(|| Peer {
             run: summary.run,
             sent_at: summary.sent_at,
@@ -428,13 +434,18 @@
         }
         let lease = self.opts.slot_lease;
         self.routers.retain(|_, r| now <= r.heard_at + lease * 4);
-        for (domain, peer) in &mut self.peers {
+        for peer in self.peers.values_mut() {
             peer.receiver.forget_lost(now, life);
             if now > peer.heard_at + self.opts.rejoin_silence {
                 peer.receiver.forget_wishes();
-                self.ledger.drop_outstanding(domain);
             }
         }
+        let silence = self.opts.rejoin_silence;
+        let silent = self.heard_runs.iter().filter(|(_, (_, heard_at))| now > *heard_at + silence);
+        for (domain, run) in silent.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+            self.ledger.drop_outstanding(&domain, run);
+            self.heard_runs.remove(&(domain, run));
+        }
     }
 
     /// Grants what can be granted, and has the other domains told of what cannot.
