Count service of lapsed slots, and give up pools after a pause

Cause: a request whose router was silent for longer than the slot lease went on, but its further service was counted nowhere, since its grant was no longer known; and a scheduler that woke from a pause went on with accounts of before it. Change: a lapsed grant's service is counted when it is told and its slot is taken up again; a scheduler asks for grants it does not know; a router that finds a gap in its own time longer than the lease gives up its pools.

--- a/samphiresill-experiment/src/fairness/policy/granted.rs
+++ b/samphiresill-experiment/src/fairness/policy/granted.rs
@@ -341,6 +341,10 @@
         }
     }
 
+    fn is_up(&self, router: usize) -> bool {
+        self.routers[router].alive
+    }
+
     fn traffic(&self) -> (u64, u64) {
         (self.bytes, self.sent)
     }
--- a/samphiresill-experiment/src/fairness/policy/mod.rs
+++ b/samphiresill-experiment/src/fairness/policy/mod.rs
@@ -76,6 +76,11 @@
         Vec::new()
     }
 
+    /// Whether a router takes requests.
+    fn is_up(&self, _router: usize) -> bool {
+        true
+    }
+
     /// Bytes and messages that were sent between routers.
     fn traffic(&self) -> (u64, u64) {
         (0, 0)
--- a/samphiresill-experiment/src/fairness/world.rs
+++ b/samphiresill-experiment/src/fairness/world.rs
@@ -183,7 +183,8 @@
             _ => 0,
         };
         let waiting = |r: &usize| self.waiting.get(&(customer, *r)).copied().unwrap_or(0);
-        let router = load.routers.iter().copied().min_by_key(waiting)?;
+        let up = load.routers.iter().copied().filter(|r| self.policy.is_up(*r));
+        let router = up.min_by_key(waiting)?;
         (waiting(&router) < depth).then_some((customer, router))
     }
 
--- a/samphiresill-sched/src/link.rs
+++ b/samphiresill-sched/src/link.rs
@@ -176,6 +176,11 @@
                 running.told = Told::Confirmed;
             }
         }
+        for grant in &ack.unknown {
+            if let Some(running) = self.running.get_mut(grant) {
+                running.told = Told::Never;
+            }
+        }
     }
 
     /// Whether there is anything to tell the scheduler about.
--- a/samphiresill-sched/src/message.rs
+++ b/samphiresill-sched/src/message.rs
@@ -161,6 +161,8 @@
     pub run: RunId,
     /// The report's time.
     pub sent_at: Duration,
+    /// Running grants that the scheduler does not know and has to be told about.
+    pub unknown: Vec<GrantId>,
 }
 
 /// `Account` is one customer's line of a summary.
--- a/samphiresill-sched/src/node.rs
+++ b/samphiresill-sched/src/node.rs
@@ -79,6 +79,7 @@
     running: BTreeMap<RequestId, RunningRequest>,
     used: BTreeMap<GrantId, Duration>,
     inbox: VecDeque<Message>,
+    last_event: Duration,
     next_run: u64,
 }
 
@@ -99,6 +100,7 @@
             running: BTreeMap::new(),
             used: BTreeMap::new(),
             inbox: VecDeque::new(),
+            last_event: Duration::ZERO,
             next_run: 0,
         }
     }
@@ -106,6 +108,7 @@
     /// Reacts to an event at monotonic time `now`.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.note_time(now);
         match event {
             Event::Submit(work) => self.submit(now, work, &mut actions),
             Event::Withdraw(request) => self.withdraw(&request),
@@ -146,6 +149,15 @@
         self.running.keys()
     }
 
+    /// Gives up the pools that it schedules when it finds that it was paused: another router has
+    /// taken them over, and what this one knows of them is old.
+    fn note_time(&mut self, now: Duration) {
+        if now.saturating_sub(self.last_event) > self.opts.slot_lease {
+            self.schedulers.clear();
+        }
+        self.last_event = self.last_event.max(now);
+    }
+
     fn submit(&mut self, now: Duration, work: Work, actions: &mut Vec<Action>) {
         let request = work.request.clone();
         if !self.topology.is_served(&work.work) {
--- a/samphiresill-sched/src/scheduler/mod.rs
+++ b/samphiresill-sched/src/scheduler/mod.rs
@@ -27,6 +27,8 @@
 use demand::{Receiver, Wish};
 use slots::Slots;
 
+/// Lapsed grants whose service can still be told.
+const MAX_LAPSED: usize = 10_000;
 /// Of so many summaries one holds every account, to mend what lost ones have left out.
 const FULL_SUMMARY_EVERY: u32 = 16;
 
@@ -90,6 +92,8 @@
     next_seq: u64,
     targets: BTreeMap<TargetName, Slots>,
     held: BTreeMap<GrantId, Held>,
+    /// Grants whose lease has lapsed: their slots are free, their service may still be told.
+    lapsed: BTreeMap<GrantId, Held>,
     routers: BTreeMap<VmName, Router>,
     peers: BTreeMap<DomainName, Peer>,
     /// Lives of other domains' schedulers, with the time of their latest summary and of hearing it.
@@ -124,6 +128,7 @@
             next_seq: 0,
             targets: BTreeMap::new(),
             held: BTreeMap::new(),
+            lapsed: BTreeMap::new(),
             routers: BTreeMap::new(),
             peers: BTreeMap::new(),
             heard_runs: BTreeMap::new(),
@@ -192,8 +197,15 @@
         for grant in &report.declined {
             self.settle(now, *grant, None);
         }
+        let unknown: Vec<GrantId> = report
+            .progress
+            .iter()
+            .map(|p| p.grant)
+            .filter(|grant| !self.held.contains_key(grant))
+            .collect();
         let mut out = Vec::new();
-        let is_news = !report.started.is_empty()
+        let is_news = !unknown.is_empty()
+            || !report.started.is_empty()
             || !report.released.is_empty()
             || !report.declined.is_empty();
         if is_news || report.seen.is_none_or(|(run, _)| run != self.run) {
@@ -201,6 +213,7 @@
                 pool: self.pool.clone(),
                 run: self.run,
                 sent_at: report.sent_at,
+                unknown,
             };
             out.push(Outgoing::Router(from.clone(), Message::Acknowledge(ack)));
         }
@@ -363,11 +376,16 @@
             held.lease_until = lease_until;
             return;
         }
-        // A request that an earlier life of this scheduler granted, or one that came late.
+        // A request that an earlier life of this scheduler granted, or whose lease has lapsed.
         let Some(slots) = self.targets.get_mut(&started.target) else { return };
         slots.adopt(started.grant);
-        self.ledger.reserve(&started.customer, started.estimate);
-        let held = Held {
+        let lapsed = self.lapsed.remove(&started.grant);
+        let held = lapsed.map(|held| Held {
+            router: Some(from.clone()),
+            lease_until,
+            ..held
+        });
+        let held = held.unwrap_or_else(|| Held {
             customer: started.customer.clone(),
             target: started.target.clone(),
             estimate: started.estimate,
@@ -376,12 +394,19 @@
             lease_until,
             offered_to: None,
             is_counted_elsewhere: started.grant.run != self.run,
-        };
+        });
+        self.ledger.reserve(&held.customer, held.outstanding());
         self.held.insert(started.grant, held);
     }
 
     /// Counts progress; the first that is told of an adopted request was counted before.
     fn note_progress(&mut self, now: Duration, grant: GrantId, served: Tokens) {
+        if let Some(lapsed) = self.lapsed.get_mut(&grant) {
+            let added = served.saturating_sub(lapsed.served);
+            lapsed.served = lapsed.served.max(served);
+            let customer = lapsed.customer.clone();
+            return self.ledger.serve(&customer, added);
+        }
         let Some(held) = self.held.get_mut(&grant) else { return };
         let before = held.outstanding();
         let added = served.saturating_sub(held.served);
@@ -400,7 +425,18 @@
 
     /// Ends a grant: its slot is free and nothing is charged in advance any more.
     fn settle(&mut self, now: Duration, grant: GrantId, observed: Option<&Observed>) {
-        let Some(held) = self.held.remove(&grant) else { return };
+        self.lapsed.remove(&grant);
+        self.free(now, grant, observed);
+    }
+
+    /// Frees the slot of a grant, and takes back what was charged in advance.
+    fn free(
+        &mut self,
+        now: Duration,
+        grant: GrantId,
+        observed: Option<&Observed>,
+    ) -> Option<Held> {
+        let held = self.held.remove(&grant)?;
         let outstanding = held.outstanding();
         if outstanding.0 > 0 {
             self.ledger.unreserve(&held.customer, outstanding);
@@ -408,6 +444,7 @@
         if let Some(slots) = self.targets.get_mut(&held.target) {
             slots.release(now, grant, observed);
         }
+        Some(held)
     }
 
     fn settle_all_of(&mut self, now: Duration, router: &VmName) {
@@ -422,7 +459,13 @@
         let lapsed = self.held.iter().filter(|(_, h)| h.lease_until <= now);
         let lapsed: Vec<GrantId> = lapsed.map(|(id, _)| *id).collect();
         for grant in lapsed {
-            self.settle(now, grant, None);
+            let held = self.free(now, grant, None).filter(|h| h.router.is_some());
+            if let Some(held) = held {
+                self.lapsed.insert(grant, held);
+            }
+        }
+        while self.lapsed.len() > MAX_LAPSED {
+            self.lapsed.pop_first();
         }
         let life = self.opts.grant_life * 2;
         let report_silence = self.opts.report_interval * 4;
