--- /dev/null
+++ b/samphiresill-member/src/membership.rs
@@ -0,0 +1,409 @@
+//! One router's view of the members, as a function of messages and time.
+//!
+//! Invariants: this router is alive or leaving in its own view; knowledge of a member is only
+//! replaced by newer knowledge; a member is removed only after it was suspected.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use samphiresill_core::name::{DomainName, VmName};
+use serde::{Deserialize, Serialize};
+
+use crate::member::{Health, Member};
+use crate::news::News;
+
+/// `Options` are the times of the membership.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Time between probes.
+    pub probe_interval: Duration,
+    /// Time for a probe to be answered before others are asked to probe.
+    pub ack_timeout: Duration,
+    /// Time from suspicion to removal.
+    pub suspicion: Duration,
+    /// Time between looks at members that are gone, and exchanges of the whole view.
+    pub sync_interval: Duration,
+    /// How long a removed member is remembered.
+    pub memory: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            probe_interval: Duration::from_millis(500),
+            ack_timeout: Duration::from_millis(300),
+            suspicion: Duration::from_millis(1_500),
+            sync_interval: Duration::from_secs(2),
+            memory: Duration::from_hours(1),
+        }
+    }
+}
+
+/// Others that are asked to probe in this router's place.
+const INDIRECT_PROBES: usize = 2;
+/// Members in one exchange of the view; a larger view goes in parts.
+const SYNC_MEMBERS: usize = 40;
+
+/// `Message` is what routers send each other about membership.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for an answer.
+    Ping {
+        /// Names the probe.
+        seq: u64,
+        /// Pieces of knowledge.
+        news: Vec<Member>,
+    },
+    /// Answers a probe.
+    Ack {
+        /// The probe.
+        seq: u64,
+        /// Pieces of knowledge.
+        news: Vec<Member>,
+    },
+    /// Asks to probe another router and to tell when it answers.
+    PingFor {
+        /// Names the probe of the asking router.
+        seq: u64,
+        /// The router to probe.
+        vm: VmName,
+    },
+    /// Part of the sender's view; `wants_reply` asks for one in turn.
+    View {
+        /// The members.
+        members: Vec<Member>,
+        /// Whether the receiver should send its own.
+        wants_reply: bool,
+    },
+}
+
+/// `Output` is what the caller of a membership has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a message to a member.
+    Send(Member, Message),
+    /// The view has changed.
+    Changed,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    vm: VmName,
+    sent_at: Duration,
+    is_indirect: bool,
+    /// The router that asked for the probe, with the name that it gave it.
+    on_behalf_of: Option<(VmName, u64)>,
+}
+
+/// `Membership` is one router's view.
+#[derive(Debug)]
+pub struct Membership {
+    own: Member,
+    opts: Options,
+    members: BTreeMap<VmName, Member>,
+    since: BTreeMap<VmName, Duration>,
+    news: News,
+    probes: BTreeMap<u64, Probe>,
+    next_seq: u64,
+    order: Vec<VmName>,
+    next_probe: Duration,
+    next_sync: Duration,
+    rng: StdRng,
+}
+
+impl Membership {
+    /// A view in which only this router lives; `seeds` are asked for theirs.
+    #[must_use]
+    pub fn new(own: Member, seeds: Vec<Member>, opts: Options, seed: u64) -> Self {
+        let mut membership = Self {
+            own,
+            opts,
+            members: BTreeMap::new(),
+            since: BTreeMap::new(),
+            news: News::default(),
+            probes: BTreeMap::new(),
+            next_seq: 0,
+            order: Vec::new(),
+            next_probe: Duration::ZERO,
+            next_sync: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        membership.add_seeds(seeds);
+        membership
+    }
+
+    /// Takes routers from a list that lags: ones that are not known yet are asked, none is
+    /// believed to live for it.
+    pub fn add_seeds(&mut self, seeds: Vec<Member>) {
+        for seed in seeds {
+            if seed.vm != self.own.vm && !self.members.contains_key(&seed.vm) {
+                let member = Member { health: Health::Dead, ..seed };
+                self.members.insert(member.vm.clone(), member);
+            }
+        }
+    }
+
+    /// This router's own entry.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Every member that is known, this router not included.
+    #[must_use]
+    pub fn members(&self) -> &BTreeMap<VmName, Member> {
+        &self.members
+    }
+
+    /// The routers that pools may be given to.
+    #[must_use]
+    pub fn usable(&self) -> BTreeMap<VmName, DomainName> {
+        let all = self.members.values().chain(std::iter::once(&self.own));
+        all.filter(|m| m.is_usable()).map(|m| (m.vm.clone(), m.domain.clone())).collect()
+    }
+
+    /// Says that this router is about to stop.
+    pub fn leave(&mut self) -> Vec<Output> {
+        self.own.health = Health::Leaving;
+        self.news.add(self.own.clone(), self.members.len());
+        let to: Vec<Member> = self.members.values().filter(|m| m.is_usable()).cloned().collect();
+        let view = Message::View { members: vec![self.own.clone()], wants_reply: false };
+        let sends = to.into_iter().map(|m| Output::Send(m, view.clone()));
+        std::iter::once(Output::Changed).chain(sends).collect()
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, now: Duration, from: &VmName, message: Message) -> Vec<Output> {
+        let mut out = Vec::new();
+        match message {
+            Message::Ping { seq, news } => {
+                self.learn_all(now, news, &mut out);
+                let news = self.take_news();
+                self.send(from, Message::Ack { seq, news }, &mut out);
+            }
+            Message::Ack { seq, news } => {
+                self.learn_all(now, news, &mut out);
+                self.note_ack(now, seq, &mut out);
+            }
+            Message::PingFor { seq, vm } => {
+                self.probe(now, &vm, Some((from.clone(), seq)), &mut out);
+            }
+            Message::View { members, wants_reply } => {
+                self.learn_all(now, members, &mut out);
+                if wants_reply {
+                    let members = self.view_part();
+                    self.send(from, Message::View { members, wants_reply: false }, &mut out);
+                }
+            }
+        }
+        out
+    }
+
+    /// Does what time brings about.
+    pub fn tick(&mut self, now: Duration) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.check_probes(now, &mut out);
+        self.remove_suspects(now, &mut out);
+        if now >= self.next_probe {
+            self.next_probe = now + self.opts.probe_interval;
+            if let Some(vm) = self.next_to_probe() {
+                self.probe(now, &vm, None, &mut out);
+            }
+        }
+        if now >= self.next_sync {
+            self.next_sync = now + self.opts.sync_interval;
+            self.sync(&mut out);
+        }
+        out
+    }
+
+    fn send(&self, to: &VmName, message: Message, out: &mut Vec<Output>) {
+        if let Some(member) = self.members.get(to) {
+            out.push(Output::Send(member.clone(), message));
+        }
+    }
+
+    fn take_news(&mut self) -> Vec<Member> {
+        let mut news = self.news.take();
+        if !news.iter().any(|m| m.vm == self.own.vm) {
+            news.push(self.own.clone());
+        }
+        news
+    }
+
+    fn learn_all(&mut self, now: Duration, members: Vec<Member>, out: &mut Vec<Output>) {
+        for member in members {
+            self.learn(now, member, out);
+        }
+    }
+
+    fn learn(&mut self, now: Duration, member: Member, out: &mut Vec<Output>) {
+        if member.vm == self.own.vm {
+            return self.refute(&member);
+        }
+        let known = self.members.get(&member.vm);
+        if known.is_some_and(|k| !member.overrides(k)) {
+            return;
+        }
+        let was_usable = known.is_some_and(Member::is_usable);
+        let has_moved = known.is_some_and(|k| k.incarnation.start_ms != member.incarnation.start_ms);
+        if was_usable != member.is_usable() || has_moved {
+            out.push(Output::Changed);
+        }
+        self.since.insert(member.vm.clone(), now);
+        self.news.add(member.clone(), self.members.len());
+        self.members.insert(member.vm.clone(), member);
+    }
+
+    /// Answers a false belief about this router with a higher incarnation.
+    fn refute(&mut self, said: &Member) {
+        let is_false = said.incarnation >= self.own.incarnation && said.health > self.own.health;
+        if is_false || said.incarnation > self.own.incarnation {
+            let refutations = said.incarnation.refutations.max(self.own.incarnation.refutations);
+            self.own.incarnation.refutations = refutations + 1;
+            self.own.incarnation.start_ms =
+                self.own.incarnation.start_ms.max(said.incarnation.start_ms);
+            self.news.add(self.own.clone(), self.members.len());
+        }
+    }
+
+    fn note_ack(&mut self, now: Duration, seq: u64, out: &mut Vec<Output>) {
+        let Some(probe) = self.probes.remove(&seq) else { return };
+        if let Some((asker, seq)) = probe.on_behalf_of {
+            let news = self.members.get(&probe.vm).cloned().into_iter().collect();
+            return self.send(&asker, Message::Ack { seq, news }, out);
+        }
+        // The answer proves that this incarnation lives, whatever others suspect.
+        if let Some(member) = self.members.get_mut(&probe.vm)
+            && member.health == Health::Suspect
+        {
+            member.health = Health::Alive;
+            self.since.insert(probe.vm, now);
+        }
+    }
+
+    fn probe(
+        &mut self,
+        now: Duration,
+        vm: &VmName,
+        on_behalf_of: Option<(VmName, u64)>,
+        out: &mut Vec<Output>,
+    ) {
+        self.next_seq += 1;
+        let seq = self.next_seq;
+        let probe = Probe { vm: vm.clone(), sent_at: now, is_indirect: false, on_behalf_of };
+        self.probes.insert(seq, probe);
+        let news = self.take_news();
+        self.send(vm, Message::Ping { seq, news }, out);
+    }
+
+    /// Asks others about probes that are not answered, and suspects those that stay silent.
+    fn check_probes(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let timeout = self.opts.ack_timeout;
+        let late: Vec<(u64, Probe)> = self
+            .probes
+            .iter()
+            .filter(|(_, p)| now >= p.sent_at + if p.is_indirect { timeout * 3 } else { timeout })
+            .map(|(seq, probe)| (*seq, probe.clone()))
+            .collect();
+        for (seq, probe) in late {
+            if probe.on_behalf_of.is_some() {
+                self.probes.remove(&seq);
+            } else if probe.is_indirect {
+                self.probes.remove(&seq);
+                self.suspect(now, &probe.vm, out);
+            } else {
+                self.ask_others(seq, &probe.vm, out);
+            }
+        }
+    }
+
+    fn ask_others(&mut self, seq: u64, vm: &VmName, out: &mut Vec<Output>) {
+        if let Some(probe) = self.probes.get_mut(&seq) {
+            probe.is_indirect = true;
+        }
+        let usable = self.members.values().filter(|m| m.is_usable() && m.vm != *vm);
+        let mut others: Vec<VmName> = usable.map(|m| m.vm.clone()).collect();
+        others.shuffle(&mut self.rng);
+        for other in others.into_iter().take(INDIRECT_PROBES) {
+            self.send(&other, Message::PingFor { seq, vm: vm.clone() }, out);
+        }
+    }
+
+    fn suspect(&mut self, now: Duration, vm: &VmName, out: &mut Vec<Output>) {
+        let Some(member) = self.members.get(vm).filter(|m| m.health == Health::Alive) else {
+            return;
+        };
+        let suspect = Member { health: Health::Suspect, ..member.clone() };
+        self.learn(now, suspect, out);
+    }
+
+    fn remove_suspects(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let is_over = |m: &Member, since: Duration| match m.health {
+            Health::Suspect => now >= since + self.opts.suspicion,
+            _ => false,
+        };
+        let since = |vm: &VmName| self.since.get(vm).copied().unwrap_or_default();
+        let over = self.members.values().filter(|m| is_over(m, since(&m.vm)));
+        let dead: Vec<Member> =
+            over.map(|m| Member { health: Health::Dead, ..m.clone() }).collect();
+        for member in dead {
+            self.learn(now, member, out);
+        }
+        let memory = self.opts.memory;
+        let forgotten: Vec<VmName> = self
+            .members
+            .values()
+            .filter(|m| !m.is_usable() && self.since.get(&m.vm).is_some_and(|s| now >= *s + memory))
+            .map(|m| m.vm.clone())
+            .collect();
+        for vm in forgotten {
+            self.members.remove(&vm);
+            self.since.remove(&vm);
+        }
+    }
+
+    /// The next member in a random order that visits each once.
+    fn next_to_probe(&mut self) -> Option<VmName> {
+        for _ in 0..2 {
+            while let Some(vm) = self.order.pop() {
+                if self.members.get(&vm).is_some_and(Member::is_usable) {
+                    return Some(vm);
+                }
+            }
+            let usable = self.members.values().filter(|m| m.is_usable());
+            self.order = usable.map(|m| m.vm.clone()).collect();
+            self.order.shuffle(&mut self.rng);
+        }
+        None
+    }
+
+    /// Exchanges views with one member, and looks whether one that is gone is back.
+    fn sync(&mut self, out: &mut Vec<Output>) {
+        let members = self.view_part();
+        let (alive, gone): (Vec<&Member>, Vec<&Member>) =
+            self.members.values().partition(|m| m.is_usable());
+        let gone: Vec<&Member> =
+            gone.into_iter().filter(|m| m.health == Health::Dead).collect();
+        for group in [alive, gone] {
+            if group.is_empty() {
+                continue;
+            }
+            let member = group[self.rng.random_range(0..group.len())].clone();
+            let message = Message::View { members: members.clone(), wants_reply: true };
+            out.push(Output::Send(member, message));
+        }
+    }
+
+    fn view_part(&mut self) -> Vec<Member> {
+        let mut all: Vec<Member> = self.members.values().cloned().collect();
+        all.retain(|m| m.incarnation.start_ms > 0);
+        all.shuffle(&mut self.rng);
+        all.truncate(SYNC_MEMBERS - 1);
+        all.push(self.own.clone());
+        all
+    }
+}
--- /dev/null
+++ b/samphiresill-member/src/tests.rs
@@ -0,0 +1,173 @@
+//! Views of simulated routers under loss, cuts, pauses and restarts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use samphiresill_core::name::VmName;
+
+use crate::member::{Health, Incarnation, Member};
+use crate::membership::{Membership, Message, Options, Output};
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// A group of routers whose messages arrive one step later, unless a rule drops them.
+struct Group {
+    now: Duration,
+    views: BTreeMap<VmName, Membership>,
+    silent: BTreeSet<VmName>,
+    dropped: Box<dyn Fn(&str, &str) -> bool>,
+    flying: Vec<(VmName, VmName, Message)>,
+    sent: usize,
+}
+
+fn member(number: usize, start_ms: u64) -> Member {
+    Member {
+        vm: format!("r{number}").into(),
+        domain: format!("d{}", number % 3).into(),
+        address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        incarnation: Incarnation { start_ms, refutations: 0 },
+        health: Health::Alive,
+    }
+}
+
+impl Group {
+    fn new(count: usize) -> Self {
+        let seeds = vec![member(0, 0), member(1, 0)];
+        let view = |n| Membership::new(member(n, 1), seeds.clone(), Options::default(), n as u64);
+        Self {
+            now: Duration::ZERO,
+            views: (0..count).map(|n| (member(n, 1).vm, view(n))).collect(),
+            silent: BTreeSet::new(),
+            dropped: Box::new(|_, _| false),
+            flying: Vec::new(),
+            sent: 0,
+        }
+    }
+
+    fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while self.now < end {
+            self.now += STEP;
+            for (from, to, message) in std::mem::take(&mut self.flying) {
+                if self.silent.contains(&to) || (self.dropped)(&from, &to) {
+                    continue;
+                }
+                let Some(view) = self.views.get_mut(&to) else { continue };
+                let out = view.receive(self.now, &from, message);
+                self.send(&to, out);
+            }
+            for vm in self.views.keys().cloned().collect::<Vec<_>>() {
+                if !self.silent.contains(&vm) {
+                    let out = self.views.get_mut(&vm).expect("a known router").tick(self.now);
+                    self.send(&vm, out);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: &VmName, out: Vec<Output>) {
+        for output in out {
+            if let Output::Send(to, message) = output {
+                self.sent += 1;
+                self.flying.push((from.clone(), to.vm, message));
+            }
+        }
+    }
+
+    fn sees(&self, vm: &str, count: usize) {
+        let usable = self.views[&VmName::from(vm)].usable();
+        assert_eq!(usable.len(), count, "{vm} at {:?} sees {usable:?}", self.now);
+    }
+
+    fn all_see(&self, count: usize) {
+        for vm in self.views.keys().filter(|vm| !self.silent.contains(*vm)) {
+            self.sees(vm, count);
+        }
+    }
+}
+
+#[test]
+fn routers_find_each_other_from_two_seeds() {
+    let mut group = Group::new(9);
+    group.run(Duration::from_secs(10));
+    group.all_see(9);
+}
+
+#[test]
+fn a_silent_router_is_removed_and_comes_back() {
+    let mut group = Group::new(9);
+    group.run(Duration::from_secs(10));
+    group.silent.insert("r4".into());
+    group.run(Duration::from_secs(8));
+    group.all_see(8);
+    group.silent.clear();
+    group.run(Duration::from_secs(20));
+    group.all_see(9);
+}
+
+#[test]
+fn a_rack_lost_at_once_is_removed() {
+    let mut group = Group::new(9);
+    group.run(Duration::from_secs(10));
+    group.silent.extend(["r2", "r5", "r8"].map(VmName::from));
+    group.run(Duration::from_secs(12));
+    group.all_see(6);
+}
+
+#[test]
+fn a_cut_leaves_each_side_with_itself_and_heals() {
+    let mut group = Group::new(9);
+    group.run(Duration::from_secs(10));
+    let is_first = |vm: &str| ["r0", "r3", "r6"].contains(&vm);
+    group.dropped = Box::new(move |from, to| is_first(from) != is_first(to));
+    group.run(Duration::from_secs(15));
+    group.sees("r0", 3);
+    group.sees("r1", 6);
+    group.dropped = Box::new(|_, _| false);
+    group.run(Duration::from_secs(20));
+    group.all_see(9);
+}
+
+#[test]
+fn one_way_loss_between_two_routers_removes_nobody() {
+    let mut group = Group::new(9);
+    group.run(Duration::from_secs(10));
+    group.dropped = Box::new(|from, to| from == "r2" && to == "r3");
+    group.run(Duration::from_secs(30));
+    group.all_see(9);
+}
+
+#[test]
+fn a_restart_at_the_same_address_is_a_new_incarnation() {
+    let mut group = Group::new(5);
+    group.run(Duration::from_secs(10));
+    let seeds = vec![member(0, 0), member(1, 0)];
+    group.views.insert("r4".into(), Membership::new(member(4, 2), seeds, Options::default(), 77));
+    group.run(Duration::from_secs(10));
+    group.all_see(5);
+    let known = &group.views[&VmName::from("r0")].members()[&VmName::from("r4")];
+    assert_eq!(known.incarnation.start_ms, 2);
+}
+
+#[test]
+fn a_leaving_router_is_not_used_any_more() {
+    let mut group = Group::new(5);
+    group.run(Duration::from_secs(10));
+    let out = group.views.get_mut(&VmName::from("r3")).expect("a known router").leave();
+    group.send(&"r3".into(), out);
+    group.run(Duration::from_secs(1));
+    group.all_see(4);
+}
+
+#[test]
+fn messages_of_a_router_do_not_grow_with_the_fleet() {
+    let rate = |count: usize| {
+        let mut group = Group::new(count);
+        group.run(Duration::from_secs(30));
+        group.sent = 0;
+        group.run(Duration::from_secs(20));
+        group.sent as f64 / count as f64 / 20.0
+    };
+    let (small, large) = (rate(9), rate(100));
+    assert!(large < small * 1.5, "{small} messages a second with 9, {large} with 100");
+}
--- a/samphiresill/src/router.rs
+++ b/samphiresill/src/router.rs
@@ -4,24 +4,30 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use samphiresill_core::clock::Clock;
-use samphiresill_core::name::VmName;
+use samphiresill_member::member::{Health, Incarnation, Member};
+use samphiresill_member::membership::{self, Membership};
 use samphiresill_platform::http::Platform;
 use samphiresill_platform::table::Table;
-use samphiresill_sched::message::Message;
 use samphiresill_sched::node::Node;
 use samphiresill_sched::options::Options;
-use samphiresill_sched::topology::Topology;
 use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
 
 use crate::config::Config;
-use crate::dispatch::{Dispatcher, Post};
+use crate::dispatch::Dispatcher;
 use crate::metrics::Metrics;
-use crate::settings::Settings;
+use crate::peer::driver::{Driver, View};
+use crate::peer::frame::FrameKey;
+use crate::peer::links::Links;
+use crate::peer::server;
+use crate::settings::{Peer, Settings};
 use crate::shared::{Parts, Shared};
 use crate::{follow, front, operations};
 
 /// Threads that serve connections.
 const WORKER_THREADS: usize = 4;
+/// Frames of peers that wait to be taken in.
+const MAX_CONTENTS: usize = 1_024;
 /// Pause between looks at what is still at work during a stop.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -31,12 +37,6 @@
     runtime: Runtime,
 }
 
-struct NoPost;
-
-impl Post for NoPost {
-    fn send(&self, _: &VmName, _: Message) {}
-}
-
 impl Router {
     /// Starts a router.
     ///
@@ -55,7 +55,16 @@
         let config = Arc::new(Config::default());
         let opts = Options::with_interval(Duration::from_millis(settings.report_interval_ms));
         let node = Node::new(settings.vm.clone(), settings.domain.clone(), incarnation, opts);
-        let (dispatcher, _) = Dispatcher::start(node, Arc::clone(&clock), NoPost);
+        let metrics = Arc::new(Metrics::new()?);
+        let key = FrameKey::new(&settings.peer_key);
+        let links = Links::new(
+            settings.vm.clone(),
+            key.clone(),
+            Arc::clone(&config),
+            Arc::clone(&metrics),
+            runtime.handle().clone(),
+        );
+        let (dispatcher, _) = Dispatcher::start(node, Arc::clone(&clock), links.clone());
         let shared = Arc::new(Shared::new(Parts {
             settings,
             clock,
@@ -63,14 +72,19 @@
             dispatcher,
             table: Arc::clone(&table),
             runtime: runtime.handle().clone(),
-            metrics: Metrics::new()?,
+            metrics,
             incarnation,
         }));
         operations::start(shared.settings.listen.operations, Arc::clone(&shared))?;
         runtime.block_on(front::start(Arc::clone(&shared)))?;
         let poll = Duration::from_millis(shared.settings.platform.poll_ms);
+        let view = Arc::new(View::default());
+        runtime.block_on(start_peering(&shared, key, links, &view))?;
         let for_follow = Arc::clone(&shared);
-        follow::start(config, table, poll, move || publish(&for_follow))?;
+        let members = Arc::clone(&view);
+        follow::start(config, table, poll, move || {
+            for_follow.publish_topology(&members.usable());
+        })?;
         Ok(Self { shared, runtime })
     }
 
@@ -89,11 +103,34 @@
     }
 }
 
-/// Tells the capacity decisions of the configuration in force.
-fn publish(shared: &Shared) {
-    let snapshot = shared.config.current();
+/// Listens for other routers and joins them.
+async fn start_peering(
+    shared: &Arc<Shared>,
+    key: FrameKey,
+    links: Links,
+    view: &Arc<View>,
+) -> anyhow::Result<()> {
     let settings = &shared.settings;
-    let members = [(settings.vm.clone(), settings.domain.clone())].into();
-    let topology = Topology::new(&snapshot.document, members);
-    shared.dispatcher.set_topology(Arc::new(topology));
+    let (tx, rx) = mpsc::channel(MAX_CONTENTS);
+    server::start(settings.listen.peers, settings.vm.clone(), key, tx).await?;
+    let own = Member {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        address: settings.listen.peers,
+        incarnation: Incarnation { start_ms: shared.incarnation, refutations: 0 },
+        health: Health::Alive,
+    };
+    let seed = |peer: &Peer| Member {
+        vm: peer.vm.clone(),
+        domain: peer.domain.clone(),
+        address: peer.address,
+        incarnation: Incarnation::default(),
+        health: Health::Dead,
+    };
+    let seeds = settings.peers.iter().map(seed).collect();
+    let opts = membership::Options::default();
+    let membership = Membership::new(own, seeds, opts, shared.incarnation);
+    let driver = Driver::new(Arc::clone(shared), links, membership, Arc::clone(view));
+    tokio::spawn(driver.run(rx));
+    Ok(())
 }
--- a/samphiresill/src/shared.rs
+++ b/samphiresill/src/shared.rs
@@ -1,5 +1,6 @@
 //! What every request of a router shares.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -8,9 +9,10 @@
 use samphiresill_attempt::budget::Budgets;
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_core::clock::Clock;
-use samphiresill_core::name::{CustomerName, RequestId, TargetName};
+use samphiresill_core::name::{CustomerName, DomainName, RequestId, TargetName, VmName};
 use samphiresill_platform::table::Table;
 use samphiresill_sched::queue::Work;
+use samphiresill_sched::topology::Topology;
 use tokio::runtime::Handle;
 
 use crate::config::Config;
@@ -40,7 +42,7 @@
     /// Threads and tasks.
     pub runtime: Handle,
     /// Counters for operators.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// Grows with each start of the process.
     pub incarnation: u64,
     retries: Mutex<Retries>,
@@ -73,7 +75,7 @@
     /// Threads and tasks.
     pub runtime: Handle,
     /// Counters for operators.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// Grows with each start of the process.
     pub incarnation: u64,
 }
@@ -117,6 +119,19 @@
         !self.is_stopping.load(Ordering::Acquire) && self.config.current().revision > 0
     }
 
+    /// Whether the router is about to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Tells the capacity decisions of the configuration in force and of the members.
+    pub fn publish_topology(&self, members: &BTreeMap<VmName, DomainName>) {
+        let snapshot = self.config.current();
+        let topology = Topology::new(&snapshot.document, members.clone());
+        self.dispatcher.set_topology(Arc::new(topology));
+    }
+
     /// Takes no new requests from now on.
     pub fn begin_stop(&self) {
         self.is_stopping.store(true, Ordering::Release);
