Add operators' procedures, command line, local fleet, load and latency tools

The load tool found requests that waited for ever: the dispatch thread threw away the starts that a report of progress led to when this router schedules the pool itself. Ruled out: lost frames between routers (the stuck requests were all granted by their own router).

--- a/samphiresill-contract/src/document.rs
+++ b/samphiresill-contract/src/document.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
-use crate::object;
+use crate::object::{self, Kind, ObjectId};
 
 /// `Document` holds every object of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +54,29 @@
         self.customers.iter().find(|(_, c)| c.key_hashes.contains(hash)).map(|(name, _)| name)
     }
 
+    /// Every object with its identity.
+    #[must_use]
+    pub fn objects(&self) -> Vec<(ObjectId, object::Object)> {
+        let id = |kind, name: &str| ObjectId { kind, name: name.to_owned() };
+        let customers = self
+            .customers
+            .iter()
+            .map(|(n, v)| (id(Kind::Customer, n), object::Object::Customer(v.clone())));
+        let models = self
+            .models
+            .iter()
+            .map(|(n, v)| (id(Kind::Model, n), object::Object::Model(v.clone())));
+        let services = self
+            .services
+            .iter()
+            .map(|(n, v)| (id(Kind::Service, n), object::Object::Service(v.clone())));
+        let targets = self
+            .targets
+            .iter()
+            .map(|(n, v)| (id(Kind::Target, n), object::Object::Target(v.clone())));
+        customers.chain(models).chain(services).chain(targets).collect()
+    }
+
     fn check_customers(&self) -> Result<()> {
         let mut owners: BTreeMap<&KeyHash, &CustomerName> = BTreeMap::new();
         for (name, customer) in &self.customers {
--- a/samphiresill-core/src/name.rs
+++ b/samphiresill-core/src/name.rs
@@ -57,4 +57,10 @@
     pub fn of_key(key: &str) -> Self {
         Self(blake3::hash(key.as_bytes()).to_hex().as_str().into())
     }
+
+    /// Takes a hash as text; a configuration checks its form.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Self {
+        Self(text.into())
+    }
 }
--- /dev/null
+++ b/samphiresill-experiment/src/caller.rs
@@ -0,0 +1,80 @@
+//! A caller of the fleet, or of an engine directly, that times the pieces of its answer.
+
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures::executor::block_on_stream;
+use futures::stream;
+use serde_json::{Value, json};
+
+/// Time within which an answer's next piece has to come.
+const READ_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// `Answer` is a streamed answer with its times.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The text.
+    pub text: String,
+    /// Time to the first piece.
+    pub first: Duration,
+    /// Times between pieces.
+    pub gaps: Vec<Duration>,
+}
+
+/// Sends a prompt and reads the streamed answer whole.
+///
+/// # Errors
+/// When the answer is not whole.
+pub fn stream(
+    address: &str,
+    key: &str,
+    model: &str,
+    request: &str,
+    prompt: &str,
+) -> anyhow::Result<Answer> {
+    let body = json!({"model": model, "stream": true, "prompt": prompt}).to_string();
+    let start = Instant::now();
+    let response = attohttpc::post(format!("http://{address}/v1/completions"))
+        .header("authorization", format!("Bearer {key}"))
+        .header("x-request-id", request)
+        .read_timeout(READ_TIMEOUT)
+        .text(body)
+        .send()?;
+    let (status, _, mut reader) = response.split();
+    if !status.is_success() {
+        let mut text = String::new();
+        reader.read_to_string(&mut text)?;
+        bail!("status {status}: {text}");
+    }
+    let mut buf = vec![0; 8 * 1024];
+    let chunks = std::iter::from_fn(move || match reader.read(&mut buf) {
+        Ok(0) => None,
+        Ok(n) => Some(Ok(Bytes::copy_from_slice(&buf[..n]))),
+        Err(e) => Some(Err(e)),
+    });
+    let mut answer = Answer { text: String::new(), first: Duration::ZERO, gaps: Vec::new() };
+    let mut last = None;
+    for event in block_on_stream(stream::iter(chunks).eventsource()) {
+        let event = event.context("the stream broke off")?;
+        if event.data == "[DONE]" {
+            return Ok(answer);
+        }
+        let data: Value = serde_json::from_str(&event.data)?;
+        if !data["error"].is_null() {
+            bail!("error event: {}", data["error"]);
+        }
+        let choice = &data["choices"][0];
+        let text = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
+        let Some(text) = text.filter(|t| !t.is_empty()) else { continue };
+        let now = Instant::now();
+        match last.replace(now) {
+            None => answer.first = now - start,
+            Some(before) => answer.gaps.push(now - before),
+        }
+        answer.text.push_str(text);
+    }
+    bail!("the stream ended without its end mark")
+}
--- /dev/null
+++ b/samphiresill-experiment/src/load.rs
@@ -0,0 +1,73 @@
+//! Many requests at once over several routers; each answer must be its own, byte for byte.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Instant;
+
+use anyhow::{Context, bail};
+use getopts::Options;
+use samphiresill_standins::text;
+
+use crate::caller;
+
+/// Runs the command.
+pub fn command(args: &[String]) -> anyhow::Result<()> {
+    let mut spec = Options::new();
+    spec.optflag("h", "help", "print this help");
+    spec.optopt("", "routers", "addresses, comma between them", "IP:PORT,...");
+    spec.optopt("", "keys", "callers' keys, comma between them", "KEY,...");
+    spec.optopt("", "model", "model (letters)", "NAME");
+    spec.optopt("", "requests", "requests in all (600)", "N");
+    spec.optopt("", "concurrency", "requests at once (300)", "N");
+    let given = spec.parse(args)?;
+    if given.opt_present("help") {
+        print!("{}", spec.usage("Usage: samphiresill-experiment load [OPTIONS]"));
+        return Ok(());
+    }
+    let list = |name: &str, default: &str| -> Vec<String> {
+        let text = given.opt_str(name).unwrap_or_else(|| default.into());
+        text.split(',').map(str::to_owned).collect()
+    };
+    let routers = list("routers", "127.0.0.1:8401,127.0.0.1:8501,127.0.0.1:8601");
+    let keys = list("keys", "counter-example-key,warehouse-example-key,dealers-example-key");
+    let model = given.opt_str("model").unwrap_or_else(|| "letters".into());
+    let requests: usize = given.opt_get_default("requests", 600).context("--requests")?;
+    let concurrency: usize = given.opt_get_default("concurrency", 300).context("--concurrency")?;
+    let next = AtomicUsize::new(0);
+    let wrong = AtomicUsize::new(0);
+    let start = Instant::now();
+    thread::scope(|scope| {
+        for _ in 0..concurrency {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    if number >= requests {
+                        return;
+                    }
+                    let router = &routers[number % routers.len()];
+                    let key = &keys[number % keys.len()];
+                    if let Err(e) = check(router, key, &model, number) {
+                        wrong.fetch_add(1, Ordering::Relaxed);
+                        eprintln!("request {number}: {e:#}");
+                    }
+                }
+            });
+        }
+    });
+    let wrong = wrong.into_inner();
+    println!("{requests} requests, {wrong} wrong, {:.1} s", start.elapsed().as_secs_f64());
+    if wrong > 0 {
+        bail!("{wrong} of {requests} answers were wrong");
+    }
+    Ok(())
+}
+
+fn check(router: &str, key: &str, model: &str, number: usize) -> anyhow::Result<()> {
+    let prompt = format!("load {number} len={}", 5 + number % 40);
+    let answer = caller::stream(router, key, model, "", &prompt)?;
+    let expected = text::answer(&prompt, usize::MAX);
+    if answer.text != expected {
+        bail!("got {:?} in place of {expected:?}", answer.text);
+    }
+    Ok(())
+}
--- a/samphiresill-experiment/src/main.rs
+++ b/samphiresill-experiment/src/main.rs
@@ -1,6 +1,9 @@
 //! Experiments with the fleet's decisions; `--help` lists them.
 
+mod caller;
 mod fairness;
+mod latency;
+mod load;
 
 use std::process::ExitCode;
 
@@ -12,6 +15,8 @@
 
 Commands:
   fairness   compare the ways to share capacity, on the real decision code
+  latency    time that routers add to the first token and between tokens
+  load       many requests at once, every answer checked byte for byte
 
 `samphiresill-experiment COMMAND --help` lists the options of a command.
 ";
@@ -24,6 +29,8 @@
     };
     let result = match command {
         "fairness" => fairness::command(rest),
+        "latency" => latency::command(rest),
+        "load" => load::command(rest),
         "--help" | "-h" => {
             print!("{HELP}");
             return ExitCode::SUCCESS;
--- a/samphiresill-member/src/membership.rs
+++ b/samphiresill-member/src/membership.rs
@@ -214,8 +214,13 @@
             }
         }
         if now >= self.next_sync {
+            let is_first = self.next_sync.is_zero();
             self.next_sync = now + self.opts.sync_interval;
-            self.sync(&mut out);
+            if is_first {
+                self.greet_all(&mut out);
+            } else {
+                self.sync(&mut out);
+            }
         }
         out
     }
@@ -381,6 +386,13 @@
         None
     }
 
+    /// Asks every router that is known at the start for its view.
+    fn greet_all(&mut self, out: &mut Vec<Output>) {
+        let message = Message::View { members: vec![self.own.clone()], wants_reply: true };
+        let all = self.members.values().take(SYNC_MEMBERS);
+        out.extend(all.map(|m| Output::Send(m.clone(), message.clone())));
+    }
+
     /// Exchanges views with one member, and looks whether one that is gone is back.
     fn sync(&mut self, out: &mut Vec<Output>) {
         let members = self.view_part();
--- a/samphiresill-sched/src/node.rs
+++ b/samphiresill-sched/src/node.rs
@@ -115,7 +115,7 @@
             Event::Progress(request, served) => self.progress(&request, served),
             Event::Finished(request, observed) => self.finish(&request, observed),
             Event::Receive(from, message) => self.receive(now, &from, message, &mut actions),
-            Event::Topology(topology) => self.set_topology(topology, &mut actions),
+            Event::Topology(topology) => self.set_topology(now, topology, &mut actions),
             Event::Tick => self.tick(now, &mut actions),
         }
         self.flush(now, &mut actions);
@@ -235,7 +235,7 @@
         let is_alive = now.saturating_sub(delivery.basis) <= self.opts.grant_life;
         let waiting =
             if is_alive { self.queues.pop(&grant.pool.work, &grant.customer) } else { None };
-        let scheduler = self.topology.scheduler_of(&grant.pool);
+        let scheduler = self.topology.scheduler_of(&grant.pool).cloned();
         let link = link_of(&mut self.links, &grant.pool);
         if link.scheduler().is_none() {
             link.set_scheduler(scheduler.or(Some(grant.scheduler)));
@@ -259,16 +259,25 @@
         self.running.insert(running.work.request.clone(), running);
     }
 
-    fn set_topology(&mut self, topology: Arc<Topology>, actions: &mut Vec<Action>) {
+    fn set_topology(
+        &mut self,
+        now: Duration,
+        topology: Arc<Topology>,
+        actions: &mut Vec<Action>,
+    ) {
         self.topology = topology;
         for (pool, link) in &mut self.links {
-            link.set_scheduler(self.topology.scheduler_of(pool));
+            link.set_scheduler(self.topology.scheduler_of(pool).cloned());
         }
         let (topology, vm) = (&self.topology, &self.vm);
-        self.schedulers.retain(|pool, _| topology.scheduler_of(pool).as_ref() == Some(vm));
+        self.schedulers.retain(|pool, _| topology.scheduler_of(pool) == Some(vm));
         for scheduler in self.schedulers.values_mut() {
             scheduler.set_topology(Arc::clone(&self.topology));
         }
+        let topology = Arc::clone(&self.topology);
+        for pool in topology.pools_of(&self.vm.clone()) {
+            self.start_scheduler(now, pool);
+        }
         for work in self.queues.works() {
             if !self.topology.is_served(&work) {
                 let removed = self.queues.remove_work(&work);
@@ -306,7 +315,7 @@
     /// The link to the pool of this node's own domain, whose scheduler is told what waits.
     fn home_link(&mut self, work: &WorkName) -> &mut Link {
         let pool = PoolKey { domain: self.domain.clone(), work: work.clone() };
-        let scheduler = self.topology.scheduler_of(&pool);
+        let scheduler = self.topology.scheduler_of(&pool).cloned();
         let link = link_of(&mut self.links, &pool);
         link.set_scheduler(scheduler);
         link
@@ -364,18 +373,16 @@
         act: impl FnOnce(&mut Scheduler) -> Vec<Outgoing>,
         actions: &mut Vec<Action>,
     ) {
-        if self.topology.scheduler_of(pool).as_ref() != Some(&self.vm) {
+        if self.topology.scheduler_of(pool) != Some(&self.vm) {
             return;
         }
-        if !self.schedulers.contains_key(pool) {
-            self.start_scheduler(now, pool);
-        }
+        self.start_scheduler(now, pool);
         let Some(scheduler) = self.schedulers.get_mut(pool) else { return };
         for outgoing in act(scheduler) {
             match outgoing {
                 Outgoing::Router(vm, message) => self.send(vm, message, actions),
                 Outgoing::Pool(pool, message) => {
-                    if let Some(vm) = self.topology.scheduler_of(&pool) {
+                    if let Some(vm) = self.topology.scheduler_of(&pool).cloned() {
                         self.send(vm, message, actions);
                     }
                 }
@@ -383,7 +390,11 @@
         }
     }
 
+    /// Starts the scheduler of a pool unless there is one.
     fn start_scheduler(&mut self, now: Duration, pool: &PoolKey) {
+        if self.schedulers.contains_key(pool) {
+            return;
+        }
         self.next_run += 1;
         let run = RunId((self.incarnation << 16) + self.next_run);
         let scheduler = Scheduler::new(
--- a/samphiresill-sched/src/topology.rs
+++ b/samphiresill-sched/src/topology.rs
@@ -35,6 +35,7 @@
     pub max_waiting: BTreeMap<CustomerName, u32>,
     /// The routers that are believed to live, with their failure domains.
     pub members: BTreeMap<VmName, DomainName>,
+    schedulers: BTreeMap<PoolKey, VmName>,
 }
 
 impl Topology {
@@ -56,19 +57,44 @@
             }
         }
         let customers = &document.customers;
-        Self {
+        let mut topology = Self {
             pools,
             works: document.models.keys().chain(document.services.keys()).cloned().collect(),
             shares: customers.iter().map(|(n, c)| (n.clone(), c.share)).collect(),
             max_waiting: customers.iter().map(|(n, c)| (n.clone(), c.max_waiting)).collect(),
             members,
-        }
+            schedulers: BTreeMap::new(),
+        };
+        topology.schedulers = topology.choose_schedulers();
+        topology
     }
 
     /// The VM that schedules a pool in this view; a domain without routers is looked after by
     /// the rest of the fleet.
     #[must_use]
-    pub fn scheduler_of(&self, pool: &PoolKey) -> Option<VmName> {
+    pub fn scheduler_of(&self, pool: &PoolKey) -> Option<&VmName> {
+        self.schedulers.get(pool)
+    }
+
+    /// The pools with targets that a VM schedules in this view.
+    pub fn pools_of<'a>(&'a self, vm: &'a VmName) -> impl Iterator<Item = &'a PoolKey> {
+        self.pools.keys().filter(move |pool| self.scheduler_of(pool) == Some(vm))
+    }
+
+    fn choose_schedulers(&self) -> BTreeMap<PoolKey, VmName> {
+        let mut schedulers = BTreeMap::new();
+        for domain in self.domains() {
+            for work in &self.works {
+                let pool = PoolKey { domain: domain.clone(), work: work.clone() };
+                if let Some(vm) = self.choose_scheduler(&pool) {
+                    schedulers.insert(pool, vm);
+                }
+            }
+        }
+        schedulers
+    }
+
+    fn choose_scheduler(&self, pool: &PoolKey) -> Option<VmName> {
         let own = self.members.iter().filter(|(_, d)| **d == pool.domain).map(|(vm, _)| vm);
         rendezvous::choose(pool, own).or_else(|| rendezvous::choose(pool, self.members.keys()))
     }
--- a/samphiresill-standins/src/http.rs
+++ b/samphiresill-standins/src/http.rs
@@ -1,6 +1,6 @@
 //! What the stand-ins share of HTTP: listening, JSON bodies and chunked streams.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -76,7 +76,7 @@
           Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
     )?;
     writer.flush()?;
-    Ok(chunked_transfer::Encoder::with_flush_after_write(writer))
+    Ok(chunked_transfer::Encoder::new(writer))
 }
 
 /// Sends one piece of a streamed answer.
@@ -84,5 +84,7 @@
 /// # Errors
 /// When the caller is gone.
 pub fn send(stream: &mut Stream, text: &str) -> std::io::Result<()> {
-    stream.write_all(text.as_bytes())
+    stream.write_all(text.as_bytes())?;
+    // The encoder's own flush does not reach the buffer below it.
+    stream.flush()
 }
--- a/samphiresill/src/dispatch/mod.rs
+++ b/samphiresill/src/dispatch/mod.rs
@@ -301,15 +301,10 @@
     }
 
     fn note_progress(&mut self) {
-        for (request, served) in &self.progress {
-            let served = Tokens(served.load(Ordering::Relaxed));
-            // Progress alone leads to no action but a report that is due anyway.
-            let event = Event::Progress(request.clone(), served);
-            for action in self.node.handle(self.clock.monotonic(), event) {
-                if let Action::Send(to, message) = action {
-                    self.post.send(&to, message);
-                }
-            }
+        let running = self.progress.iter();
+        let served = running.map(|(r, s)| (r.clone(), Tokens(s.load(Ordering::Relaxed))));
+        for (request, served) in served.collect::<Vec<_>>() {
+            self.handle(Event::Progress(request, served));
         }
     }
 
--- a/samphiresill/src/lib.rs
+++ b/samphiresill/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operations;
+pub mod operators;
 pub mod peer;
 pub mod router;
 pub mod settings;
--- a/samphiresill/src/peer/driver.rs
+++ b/samphiresill/src/peer/driver.rs
@@ -111,6 +111,8 @@
                     self.act(out);
                 }
                 Item::WantConfig { have } => self.give_config(&from, have),
+                Item::AskRevision => self.links.send(&from, Item::TellRevision),
+                Item::TellRevision => {}
                 Item::Config { snapshot } => self.take_config(&snapshot),
             }
         }
--- a/samphiresill/src/peer/frame.rs
+++ b/samphiresill/src/peer/frame.rs
@@ -20,6 +20,10 @@
         /// The revision that the sender has.
         have: u64,
     },
+    /// Asks which revision the receiver has in force.
+    AskRevision,
+    /// An answer whose frame says which revision its sender has in force.
+    TellRevision,
     /// A whole configuration, as the text of a snapshot.
     Config {
         /// The snapshot in JSON.
--- a/samphiresill/src/router.rs
+++ b/samphiresill/src/router.rs
@@ -22,7 +22,7 @@
 use crate::peer::server;
 use crate::settings::{Peer, Settings};
 use crate::shared::{Parts, Shared};
-use crate::{follow, front, operations};
+use crate::{follow, front, operations, operators};
 
 /// Threads that serve connections.
 const WORKER_THREADS: usize = 4;
@@ -79,7 +79,15 @@
         runtime.block_on(front::start(Arc::clone(&shared)))?;
         let poll = Duration::from_millis(shared.settings.platform.poll_ms);
         let view = Arc::new(View::default());
-        runtime.block_on(start_peering(&shared, key, links, &view))?;
+        runtime.block_on(start_peering(&shared, key, links.clone(), &view))?;
+        let operators_address = shared.settings.listen.operators;
+        let for_operators = (Arc::clone(&shared), Arc::clone(&view));
+        runtime.block_on(operators::start(
+            operators_address,
+            for_operators.0,
+            for_operators.1,
+            links,
+        ))?;
         let for_follow = Arc::clone(&shared);
         let members = Arc::clone(&view);
         follow::start(config, table, poll, move || {
