Flush the stand-ins' streams below the chunk encoder

Cause: the encoder's flush did not reach the buffer below it, so tokens came in bunches of a kilobyte. Ruled out: the client's reader (it gives each chunk).

--- a/samphiresill-standins/src/http.rs
+++ b/samphiresill-standins/src/http.rs
@@ -9,7 +9,22 @@
 use tiny_http::{Header, Request, Response, Server};
 
 /// Writer of a streamed answer; each write is flushed to the caller by [`send`].
-pub type Stream = chunked_transfer::Encoder<Box<dyn Write + Send>>;
+pub type Stream = chunked_transfer::Encoder<Flushed>;
+
+/// `Flushed` flushes after each write; the encoder's own flush does not reach so far down.
+pub struct Flushed(Box<dyn Write + Send>);
+
+impl Write for Flushed {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        let written = self.0.write(buf)?;
+        self.0.flush()?;
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.0.flush()
+    }
+}
 
 /// Listens on `address` and serves each request in a thread of its own, for ever.
 ///
@@ -76,7 +91,7 @@
           Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
     )?;
     writer.flush()?;
-    Ok(chunked_transfer::Encoder::new(writer))
+    Ok(chunked_transfer::Encoder::new(Flushed(writer)))
 }
 
 /// Sends one piece of a streamed answer.
@@ -85,6 +100,5 @@
 /// When the caller is gone.
 pub fn send(stream: &mut Stream, text: &str) -> std::io::Result<()> {
     stream.write_all(text.as_bytes())?;
-    // The encoder's own flush does not reach the buffer below it.
     stream.flush()
 }
