Tell other domains of unmet requests as soon as they begin

Cause: a customer's requests counted as told to the other domains until the next interval, although the earlier one had been granted; a router likewise counted a granted request as still told. So a request that only another domain can serve waited for the 250 ms interval. Ruled out: lost offers (none were returned or lapsed).

--- a/samphiresill-sched/src/link.rs
+++ b/samphiresill-sched/src/link.rs
@@ -115,6 +115,13 @@
         self.changed.insert(customer.clone());
     }
 
+    /// Notes that a grant for a customer has arrived: its scheduler counts one request less.
+    pub fn note_granted(&mut self, customer: &CustomerName) {
+        if let Some(told) = self.told_waiting.get_mut(customer) {
+            *told = told.saturating_sub(1);
+        }
+    }
+
     /// Notes a grant's order number; grants that arrive out of order count as seen.
     pub fn note_order(&mut self, run: RunId, order: u64) {
         self.seen = match self.seen {
--- a/samphiresill-sched/src/node.rs
+++ b/samphiresill-sched/src/node.rs
@@ -228,7 +228,9 @@
 
     fn take_grant(&mut self, now: Duration, delivery: Delivery, actions: &mut Vec<Action>) {
         let grant = delivery.grant;
-        self.home_link(&grant.pool.work).note_order(delivery.run, delivery.order);
+        let home = self.home_link(&grant.pool.work);
+        home.note_order(delivery.run, delivery.order);
+        home.note_granted(&grant.customer);
         if self.used.insert(grant.id, now).is_some() {
             return;
         }
--- a/samphiresill-sched/src/options.rs
+++ b/samphiresill-sched/src/options.rs
@@ -35,7 +35,7 @@
             report_interval: interval,
             summary_interval: interval,
             min_gap: Duration::from_millis(2),
-            summary_gap: interval / 4,
+            summary_gap: interval / 50,
             grant_life: interval * 4,
             slot_lease: interval * 8 + Duration::from_secs(1),
             listen_time: interval * 2 + Duration::from_millis(100),
--- a/samphiresill-sched/src/scheduler/mod.rs
+++ b/samphiresill-sched/src/scheduler/mod.rs
@@ -260,7 +260,12 @@
         let is_alive = now.saturating_sub(delivery.basis) <= self.opts.grant_life;
         let router = if is_alive { self.router_for(&grant.customer) } else { None };
         match router {
-            Some(vm) => vec![self.deliver(now, &vm, grant)],
+            Some(vm) => {
+                let outgoing = self.deliver(now, &vm, grant);
+                let unmet = self.unmet_here();
+                self.told_unmet.retain(|c| unmet.contains(c));
+                vec![outgoing]
+            }
             None => {
                 let pool = grant.pool.clone();
                 let message = Message::Return { pool: pool.clone(), grant: grant.id };
@@ -498,6 +503,7 @@
         }
         let out = self.grant_free_slots(now);
         let unmet = self.unmet_here();
+        self.told_unmet.retain(|c| unmet.contains(c));
         self.is_summary_urgent |= unmet.iter().any(|c| !self.told_unmet.contains(c));
         out
     }
