--- a/samphiresill-attempt/src/attempt.rs
+++ b/samphiresill-attempt/src/attempt.rs
@@ -60,7 +60,10 @@
     /// Plans attempt `number` of a request at a target.
     #[must_use]
     pub fn new(request: RequestId, number: u32, target: TargetName) -> Self {
-        Self { id: AttemptId { request, number }, target }
+        Self {
+            id: AttemptId { request, number },
+            target,
+        }
     }
 
     /// The attempt's identity.
@@ -72,7 +75,12 @@
     /// The first byte may leave from now on.
     #[must_use]
     pub fn send(self, now: Duration) -> Sent {
-        Sent { id: self.id, target: self.target, sent_at: now, silence: Silence::new(now) }
+        Sent {
+            id: self.id,
+            target: self.target,
+            sent_at: now,
+            silence: Silence::new(now),
+        }
     }
 }
 
@@ -107,7 +115,11 @@
     /// The attempt ends without an answer.
     #[must_use]
     pub fn settle(self, failed: bool) -> Settled {
-        Settled { first: None, between: None, failed }
+        Settled {
+            first: None,
+            between: None,
+            failed,
+        }
     }
 }
 
--- a/samphiresill-attempt/src/budget.rs
+++ b/samphiresill-attempt/src/budget.rs
@@ -15,7 +15,9 @@
 
 impl<N> Default for Budgets<N> {
     fn default() -> Self {
-        Self { saved: BTreeMap::new() }
+        Self {
+            saved: BTreeMap::new(),
+        }
     }
 }
 
--- a/samphiresill-attempt/src/claim.rs
+++ b/samphiresill-attempt/src/claim.rs
@@ -66,7 +66,10 @@
 /// The row's key in the table service.
 #[must_use]
 pub fn row_key(customer: &CustomerName, idempotency_key: &str) -> String {
-    format!("claim/{customer}/{}", blake3::hash(idempotency_key.as_bytes()).to_hex())
+    format!(
+        "claim/{customer}/{}",
+        blake3::hash(idempotency_key.as_bytes()).to_hex()
+    )
 }
 
 /// The fingerprint of a request, which a second use of its key must have as well.
@@ -119,7 +122,14 @@
     /// Begins with a claim that says `Running`; the first step is to write it.
     #[must_use]
     pub fn new(claim: Claim) -> (Self, Step) {
-        (Self { claim, read_backs: 0, may_have_written: false }, Step::Write(0))
+        (
+            Self {
+                claim,
+                read_backs: 0,
+                may_have_written: false,
+            },
+            Step::Write(0),
+        )
     }
 
     /// The claim as it is written.
--- a/samphiresill-attempt/src/failure.rs
+++ b/samphiresill-attempt/src/failure.rs
@@ -108,8 +108,11 @@
     if !situation.may_try_again {
         let is_untouched = matches!(point, FailurePoint::Connect | FailurePoint::RefusedByTarget)
             && !situation.has_delivered;
-        let refusal =
-            if is_untouched { Refusal::TargetUnavailable } else { Refusal::TargetFailed };
+        let refusal = if is_untouched {
+            Refusal::TargetUnavailable
+        } else {
+            Refusal::TargetFailed
+        };
         return Verdict::Tell(refusal);
     }
     match point {
--- a/samphiresill-attempt/src/silence.rs
+++ b/samphiresill-attempt/src/silence.rs
@@ -25,7 +25,11 @@
     /// Begins to watch an answer at monotonic time `now`.
     #[must_use]
     pub fn new(now: Duration) -> Self {
-        Self { last_at: now, mean_gap_s: None, has_begun: false }
+        Self {
+            last_at: now,
+            mean_gap_s: None,
+            has_begun: false,
+        }
     }
 
     /// A piece has arrived.
@@ -45,9 +49,7 @@
         match (self.has_begun, self.mean_gap_s) {
             (false, _) => FIRST_LIMIT,
             (true, None) => MAX_LIMIT,
-            (true, Some(mean)) => {
-                Duration::from_secs_f64(mean * GAPS).clamp(MIN_LIMIT, MAX_LIMIT)
-            }
+            (true, Some(mean)) => Duration::from_secs_f64(mean * GAPS).clamp(MIN_LIMIT, MAX_LIMIT),
         }
     }
 }
--- a/samphiresill-contract/src/change.rs
+++ b/samphiresill-contract/src/change.rs
@@ -53,18 +53,25 @@
     for operation in &change.operations {
         check_expected(base, operation)?;
         put(&mut next.document, operation)?;
-        next.object_revisions.insert(operation.id.to_string(), next.revision);
+        next.object_revisions
+            .insert(operation.id.to_string(), next.revision);
     }
     next.document.check()?;
     Ok(next)
 }
 
 fn check_expected(base: &Snapshot, operation: &Operation) -> Result<()> {
-    let current = base.object_revisions.get(&operation.id.to_string()).copied().unwrap_or(0);
+    let current = base
+        .object_revisions
+        .get(&operation.id.to_string())
+        .copied()
+        .unwrap_or(0);
     match operation.expected {
-        Some(expected) if expected != current => {
-            Err(Error::Conflict { id: operation.id.clone(), expected, current })
-        }
+        Some(expected) if expected != current => Err(Error::Conflict {
+            id: operation.id.clone(),
+            expected,
+            current,
+        }),
         _ => Ok(()),
     }
 }
--- a/samphiresill-contract/src/document.rs
+++ b/samphiresill-contract/src/document.rs
@@ -32,7 +32,11 @@
     pub fn from_json(text: &str) -> Result<Self> {
         let mut json = serde_json::Deserializer::from_str(text);
         let document: Self = serde_path_to_error::deserialize(&mut json).map_err(|e| {
-            Error::invalid(e.path().to_string(), e.inner().to_string(), "a value of the schema")
+            Error::invalid(
+                e.path().to_string(),
+                e.inner().to_string(),
+                "a value of the schema",
+            )
         })?;
         document.check()?;
         Ok(document)
@@ -51,13 +55,19 @@
     /// The customer that a key belongs to.
     #[must_use]
     pub fn customer_of_key(&self, hash: &KeyHash) -> Option<&CustomerName> {
-        self.customers.iter().find(|(_, c)| c.key_hashes.contains(hash)).map(|(name, _)| name)
+        self.customers
+            .iter()
+            .find(|(_, c)| c.key_hashes.contains(hash))
+            .map(|(name, _)| name)
     }
 
     /// Every object with its identity.
     #[must_use]
     pub fn objects(&self) -> Vec<(ObjectId, object::Object)> {
-        let id = |kind, name: &str| ObjectId { kind, name: name.to_owned() };
+        let id = |kind, name: &str| ObjectId {
+            kind,
+            name: name.to_owned(),
+        };
         let customers = self
             .customers
             .iter()
@@ -74,7 +84,11 @@
             .targets
             .iter()
             .map(|(n, v)| (id(Kind::Target, n), object::Object::Target(v.clone())));
-        customers.chain(models).chain(services).chain(targets).collect()
+        customers
+            .chain(models)
+            .chain(services)
+            .chain(targets)
+            .collect()
     }
 
     fn check_customers(&self) -> Result<()> {
@@ -111,7 +125,11 @@
             check_name(&path, name)?;
             check_range(&path, "answer_ms", service.answer_ms, 600_000)?;
             if self.models.contains_key(name) {
-                return Err(Error::invalid(path, "the name of a model", "a name of its own"));
+                return Err(Error::invalid(
+                    path,
+                    "the name of a model",
+                    "a name of its own",
+                ));
             }
             let absolute = service.path.starts_with('/') && service.path.len() > 1;
             if !absolute || service.path.starts_with("/v1/") || service.path.ends_with('/') {
@@ -179,7 +197,10 @@
 
 fn check_key_hash(path: &str, hash: &KeyHash) -> Result<()> {
     let text: &str = hash.as_ref();
-    if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b))
+    if text.len() != 64
+        || !text
+            .bytes()
+            .all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b))
     {
         return Err(Error::invalid(
             format!("{path}.key_hashes"),
--- a/samphiresill-contract/src/error.rs
+++ b/samphiresill-contract/src/error.rs
@@ -36,7 +36,11 @@
         found: impl Into<String>,
         accepted: impl Into<String>,
     ) -> Self {
-        Self::Invalid { path: path.into(), found: found.into(), accepted: accepted.into() }
+        Self::Invalid {
+            path: path.into(),
+            found: found.into(),
+            accepted: accepted.into(),
+        }
     }
 }
 
--- a/samphiresill-contract/src/object.rs
+++ b/samphiresill-contract/src/object.rs
@@ -110,9 +110,7 @@
 }
 
 /// `Kind` names the kinds of objects.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 #[display(rename_all = "lowercase")]
 pub enum Kind {
@@ -162,4 +160,3 @@
         }
     }
 }
-
--- a/samphiresill-contract/src/tests.rs
+++ b/samphiresill-contract/src/tests.rs
@@ -13,7 +13,10 @@
 #[test]
 fn a_fault_is_named_by_its_path() {
     let cases = [
-        InvalidCase { text: r#"{"customers":{"a":{"share":0}}}"#, path: "customers.a.share" },
+        InvalidCase {
+            text: r#"{"customers":{"a":{"share":0}}}"#,
+            path: "customers.a.share",
+        },
         InvalidCase {
             text: r#"{"customers":{"a b":{"share":1}}}"#,
             path: "customers.a b",
@@ -26,7 +29,10 @@
             text: r#"{"customers":{"a":{"share":1,"key_hashes":["x"]}}}"#,
             path: "customers.a.key_hashes",
         },
-        InvalidCase { text: r#"{"services":{"s":{"path":"/v1/x"}}}"#, path: "services.s.path" },
+        InvalidCase {
+            text: r#"{"services":{"s":{"path":"/v1/x"}}}"#,
+            path: "services.s.path",
+        },
         InvalidCase {
             text: r#"{"targets":{"t":{"domain":"d","address":"127.0.0.1:1","serves":["m"],"slots":1}}}"#,
             path: "targets.t.serves",
@@ -41,12 +47,18 @@
 }
 
 fn put_customer(name: &str, share: u32, expected: Option<u64>) -> Change {
-    let customer =
-        object::Customer { share: share.into(), key_hashes: [].into(), max_waiting: 10 };
+    let customer = object::Customer {
+        share: share.into(),
+        key_hashes: [].into(),
+        max_waiting: 10,
+    };
     Change {
         change_id: format!("{name}-{share}"),
         operations: vec![Operation {
-            id: ObjectId { kind: Kind::Customer, name: name.into() },
+            id: ObjectId {
+                kind: Kind::Customer,
+                name: name.into(),
+            },
             value: Some(Object::Customer(customer)),
             expected,
         }],
@@ -61,7 +73,10 @@
     assert_eq!(
         second,
         Err(Error::Conflict {
-            id: ObjectId { kind: Kind::Customer, name: "a".into() },
+            id: ObjectId {
+                kind: Kind::Customer,
+                name: "a".into()
+            },
             expected: 0,
             current: 1
         })
--- a/samphiresill-core/src/clock.rs
+++ b/samphiresill-core/src/clock.rs
@@ -20,7 +20,9 @@
     /// Makes a clock whose monotonic time starts now.
     #[must_use]
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self {
+            start: Instant::now(),
+        }
     }
 }
 
--- a/samphiresill-ctl/src/apply.rs
+++ b/samphiresill-ctl/src/apply.rs
@@ -47,20 +47,30 @@
             reply.lagging.join(", ")
         )));
     }
-    println!("revision {} in force after {} ms", reply.revision, reply.in_force_ms);
+    println!(
+        "revision {} in force after {} ms",
+        reply.revision, reply.in_force_ms
+    );
     Ok(())
 }
 
 /// Sets or clears that a target is leaving.
 pub fn drain(client: &mut Client, given: &Matches, target: &str) -> Result<(), Failure> {
     let present = present(&client.get()?)?;
-    let id = ObjectId { kind: Kind::Target, name: target.to_owned() };
+    let id = ObjectId {
+        kind: Kind::Target,
+        name: target.to_owned(),
+    };
     let Some((Object::Target(found), revision)) = present.get(&id) else {
         return Err(Failure::usage(format!("there is no target {target:?}")));
     };
     let mut changed = found.clone();
     changed.draining = !given.opt_present("undo");
-    change(client, given, vec![(id, Some(Object::Target(changed)), Some(*revision))])
+    change(
+        client,
+        given,
+        vec![(id, Some(Object::Target(changed)), Some(*revision))],
+    )
 }
 
 /// Makes the configuration as a file says, after showing the difference.
@@ -90,9 +100,9 @@
 
 fn difference(document: &Document, present: &Present, prune: bool) -> Vec<Wanted> {
     let objects: BTreeMap<ObjectId, Object> = document.objects().into_iter().collect();
-    let changed = objects.iter().filter(|(id, value)| {
-        present.get(id).is_none_or(|(current, _)| current != *value)
-    });
+    let changed = objects
+        .iter()
+        .filter(|(id, value)| present.get(id).is_none_or(|(current, _)| current != *value));
     let revision = |id: &ObjectId| present.get(id).map_or(0, |(_, revision)| *revision);
     let mut wanted: Vec<Wanted> = changed
         .map(|(id, value)| {
@@ -113,8 +123,13 @@
     for object in &reply.objects {
         let unreadable = |e| Failure::unavailable(format!("the router's reply is not valid: {e}"));
         let kind = convert::kind_from_proto(object.kind).map_err(unreadable)?;
-        let id = ObjectId { kind, name: object.name.clone() };
-        let Some(value) = object.value.clone() else { continue };
+        let id = ObjectId {
+            kind,
+            name: object.name.clone(),
+        };
+        let Some(value) = object.value.clone() else {
+            continue;
+        };
         let value = convert::value_from_proto(&id, value).map_err(unreadable)?;
         present.insert(id, (value, object.revision));
     }
--- a/samphiresill-ctl/src/client.rs
+++ b/samphiresill-ctl/src/client.rs
@@ -21,17 +21,26 @@
 impl Failure {
     /// The command line or a value is not accepted.
     pub fn usage(message: impl Into<String>) -> Self {
-        Self { exit_code: 2, message: message.into() }
+        Self {
+            exit_code: 2,
+            message: message.into(),
+        }
     }
 
     /// The change is accepted but not in force everywhere in time.
     pub fn lagging(message: impl Into<String>) -> Self {
-        Self { exit_code: 4, message: message.into() }
+        Self {
+            exit_code: 4,
+            message: message.into(),
+        }
     }
 
     /// The fleet does not serve.
     pub fn unavailable(message: impl Into<String>) -> Self {
-        Self { exit_code: 1, message: message.into() }
+        Self {
+            exit_code: 1,
+            message: message.into(),
+        }
     }
 
     /// The process's exit code.
@@ -59,7 +68,10 @@
             Code::Aborted => 3,
             _ => 1,
         };
-        Self { exit_code, message: status.message().to_owned() }
+        Self {
+            exit_code,
+            message: status.message().to_owned(),
+        }
     }
 }
 
@@ -83,15 +95,22 @@
         let endpoint = Endpoint::from_shared(format!("http://{address}"));
         let endpoint = endpoint.map_err(|e| Failure::usage(format!("--address: {e}")))?;
         let channel = runtime.block_on(endpoint.connect());
-        let channel = channel
-            .map_err(|_| Failure::unavailable(format!("no router answers at {address}")))?;
-        Ok(Self { runtime, operators: OperatorsClient::new(channel), authorization })
+        let channel =
+            channel.map_err(|_| Failure::unavailable(format!("no router answers at {address}")))?;
+        Ok(Self {
+            runtime,
+            operators: OperatorsClient::new(channel),
+            authorization,
+        })
     }
 
     /// Appends a change.
     pub fn apply(&mut self, change: ApplyRequest) -> Result<ApplyReply, Failure> {
         let req = self.request(change);
-        Ok(self.runtime.block_on(self.operators.apply(req))?.into_inner())
+        Ok(self
+            .runtime
+            .block_on(self.operators.apply(req))?
+            .into_inner())
     }
 
     /// Reads the configuration.
@@ -103,12 +122,16 @@
     /// Reads the state of the fleet.
     pub fn status(&mut self) -> Result<StatusReply, Failure> {
         let req = self.request(StatusRequest {});
-        Ok(self.runtime.block_on(self.operators.status(req))?.into_inner())
+        Ok(self
+            .runtime
+            .block_on(self.operators.status(req))?
+            .into_inner())
     }
 
     fn request<T>(&self, message: T) -> Request<T> {
         let mut req = Request::new(message);
-        req.metadata_mut().insert("authorization", self.authorization.clone());
+        req.metadata_mut()
+            .insert("authorization", self.authorization.clone());
         req
     }
 }
--- a/samphiresill-ctl/src/main.rs
+++ b/samphiresill-ctl/src/main.rs
@@ -40,15 +40,40 @@
     let mut spec = Options::new();
     spec.optflag("h", "help", "print this help");
     spec.optflag("V", "version", "print the version");
-    spec.optopt("a", "address", "operators' address of a router (127.0.0.1:8404)", "IP:PORT");
-    spec.optopt("k", "key-file", "file with the operator's key; else $SAMPHIRESILL_KEY", "FILE");
+    spec.optopt(
+        "a",
+        "address",
+        "operators' address of a router (127.0.0.1:8404)",
+        "IP:PORT",
+    );
+    spec.optopt(
+        "k",
+        "key-file",
+        "file with the operator's key; else $SAMPHIRESILL_KEY",
+        "FILE",
+    );
     spec.optflag("j", "json", "print JSON");
     spec.optflag("n", "dry-run", "check the change and do nothing");
     spec.optflag("", "prune", "with apply: delete what the file lacks");
     spec.optflag("", "undo", "with drain: give the target work again");
-    spec.optopt("w", "wait-ms", "time to wait until a change is in force (10000)", "N");
-    spec.optopt("", "change-id", "name of the change, to repeat a call whose reply was lost", "ID");
-    spec.optopt("", "expected", "with put and delete: revision of the object as seen", "N");
+    spec.optopt(
+        "w",
+        "wait-ms",
+        "time to wait until a change is in force (10000)",
+        "N",
+    );
+    spec.optopt(
+        "",
+        "change-id",
+        "name of the change, to repeat a call whose reply was lost",
+        "ID",
+    );
+    spec.optopt(
+        "",
+        "expected",
+        "with put and delete: revision of the object as seen",
+        "N",
+    );
     spec
 }
 
@@ -87,26 +112,42 @@
         ["get", kind] => {
             show::objects(&connect(given)?.get()?, Some(kind_of(kind)?), None, is_json)
         }
-        ["get", kind, name] => {
-            show::objects(&connect(given)?.get()?, Some(kind_of(kind)?), Some(name), is_json)
-        }
+        ["get", kind, name] => show::objects(
+            &connect(given)?.get()?,
+            Some(kind_of(kind)?),
+            Some(name),
+            is_json,
+        ),
         ["put", kind, name, value] => {
             let id = id_of(kind, name)?;
             let value = value_of(id.kind, value)?;
-            apply::change(&mut connect(given)?, given, vec![(id, Some(value), expected(given)?)])
+            apply::change(
+                &mut connect(given)?,
+                given,
+                vec![(id, Some(value), expected(given)?)],
+            )
         }
         ["delete", kind, name] => {
             let id = id_of(kind, name)?;
-            apply::change(&mut connect(given)?, given, vec![(id, None, expected(given)?)])
+            apply::change(
+                &mut connect(given)?,
+                given,
+                vec![(id, None, expected(given)?)],
+            )
         }
         ["drain", target] => apply::drain(&mut connect(given)?, given, target),
         ["apply", file] => apply::file(&mut connect(given)?, given, file),
-        _ => Err(Failure::usage(format!("unknown command {:?}; see --help", words.join(" ")))),
+        _ => Err(Failure::usage(format!(
+            "unknown command {:?}; see --help",
+            words.join(" ")
+        ))),
     }
 }
 
 fn connect(given: &Matches) -> Result<Client, Failure> {
-    let address = given.opt_str("address").unwrap_or_else(|| "127.0.0.1:8404".into());
+    let address = given
+        .opt_str("address")
+        .unwrap_or_else(|| "127.0.0.1:8404".into());
     let key = match given.opt_str("key-file") {
         Some(file) => std::fs::read_to_string(&file)
             .with_context(|| format!("cannot read the key from {file}"))?,
@@ -118,7 +159,9 @@
 
 fn hash_key() -> anyhow::Result<()> {
     let mut key = String::new();
-    std::io::stdin().read_to_string(&mut key).context("cannot read the key")?;
+    std::io::stdin()
+        .read_to_string(&mut key)
+        .context("cannot read the key")?;
     if key.trim().is_empty() {
         bail!("the key is empty");
     }
@@ -130,12 +173,17 @@
     let kinds = [Kind::Customer, Kind::Model, Kind::Service, Kind::Target];
     let found = kinds.into_iter().find(|k| k.to_string() == word);
     found.ok_or_else(|| {
-        Failure::usage(format!("{word:?} is not a kind: customer, model, service or target"))
+        Failure::usage(format!(
+            "{word:?} is not a kind: customer, model, service or target"
+        ))
     })
 }
 
 fn id_of(kind: &str, name: &str) -> Result<ObjectId, Failure> {
-    Ok(ObjectId { kind: kind_of(kind)?, name: name.to_owned() })
+    Ok(ObjectId {
+        kind: kind_of(kind)?,
+        name: name.to_owned(),
+    })
 }
 
 fn value_of(kind: Kind, text: &str) -> Result<Object, Failure> {
@@ -149,7 +197,9 @@
 }
 
 fn expected(given: &Matches) -> Result<Option<u64>, Failure> {
-    given.opt_get("expected").map_err(|e| Failure::usage(format!("--expected: {e}")))
+    given
+        .opt_get("expected")
+        .map_err(|e| Failure::usage(format!("--expected: {e}")))
 }
 
 fn wait_ms(given: &Matches) -> Result<u32, Failure> {
--- a/samphiresill-ctl/src/show.rs
+++ b/samphiresill-ctl/src/show.rs
@@ -55,12 +55,12 @@
         }
     }
     if let Some(name) = name.filter(|_| found.is_empty()) {
-        return Err(Failure::usage(format!("there is no object {name:?} of this kind")));
+        return Err(Failure::usage(format!(
+            "there is no object {name:?} of this kind"
+        )));
     }
     if is_json {
-        let line = |(id, revision, value): &(ObjectId, u64, Value)| {
-            json!({"kind": id.kind, "name": id.name, "revision": revision, "value": value})
-        };
+        let line = |(id, revision, value): &(ObjectId, u64, Value)| json!({"kind": id.kind, "name": id.name, "revision": revision, "value": value});
         let all: Vec<Value> = found.iter().map(line).collect();
         println!("{}", json!({"revision": reply.revision, "objects": all}));
         return Ok(());
--- a/samphiresill-experiment/src/caller.rs
+++ b/samphiresill-experiment/src/caller.rs
@@ -55,7 +55,11 @@
         Ok(n) => Some(Ok(Bytes::copy_from_slice(&buf[..n]))),
         Err(e) => Some(Err(e)),
     });
-    let mut answer = Answer { text: String::new(), first: Duration::ZERO, gaps: Vec::new() };
+    let mut answer = Answer {
+        text: String::new(),
+        first: Duration::ZERO,
+        gaps: Vec::new(),
+    };
     let mut last = None;
     for event in block_on_stream(stream::iter(chunks).eventsource()) {
         let event = event.context("the stream broke off")?;
@@ -67,8 +71,12 @@
             bail!("error event: {}", data["error"]);
         }
         let choice = &data["choices"][0];
-        let text = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
-        let Some(text) = text.filter(|t| !t.is_empty()) else { continue };
+        let text = choice["text"]
+            .as_str()
+            .or_else(|| choice["delta"]["content"].as_str());
+        let Some(text) = text.filter(|t| !t.is_empty()) else {
+            continue;
+        };
         let now = Instant::now();
         match last.replace(now) {
             None => answer.first = now - start,
--- a/samphiresill-experiment/src/fairness/case.rs
+++ b/samphiresill-experiment/src/fairness/case.rs
@@ -94,7 +94,16 @@
 
 /// The names of all cases.
 pub const NAMES: [&str; 11] = [
-    "even", "uneven", "low-hints", "speeds", "rest", "flood", "kill", "pause", "split", "cut",
+    "even",
+    "uneven",
+    "low-hints",
+    "speeds",
+    "rest",
+    "flood",
+    "kill",
+    "pause",
+    "split",
+    "cut",
     "lossy",
 ];
 
@@ -119,7 +128,13 @@
             hint: None,
             is_quick: false,
         };
-        let even = || deployment.shares.iter().map(|_| load(all.clone())).collect();
+        let even = || {
+            deployment
+                .shares
+                .iter()
+                .map(|_| load(all.clone()))
+                .collect()
+        };
         let mut case = Self {
             name,
             loads: even(),
@@ -132,24 +147,44 @@
             "low-hints" => case.loads[5].hint = Some(64),
             "speeds" => {
                 let factors = [0.4, 1.0, 2.5, 1.0];
-                case.rate_factors.iter_mut().zip(factors.iter().cycle()).for_each(|(r, f)| *r = *f);
+                case.rate_factors
+                    .iter_mut()
+                    .zip(factors.iter().cycle())
+                    .for_each(|(r, f)| *r = *f);
             }
             "rest" => case.rests(at(150), at(250)),
             "flood" => case.floods(&all),
             "kill" => {
-                let kill = |router| Fault::Kill { router, down: Duration::from_secs(2) };
-                case.faults = (0..4).map(|i| (at(120 + 60 * i as u64), kill(i * 2))).collect();
+                let kill = |router| Fault::Kill {
+                    router,
+                    down: Duration::from_secs(2),
+                };
+                case.faults = (0..4)
+                    .map(|i| (at(120 + 60 * i as u64), kill(i * 2)))
+                    .collect();
             }
             "pause" => {
-                let pause = |router| Fault::Pause { router, length: Duration::from_secs(12) };
-                case.faults = (0..4).map(|i| (at(120 + 60 * i as u64), pause(i * 2))).collect();
+                let pause = |router| Fault::Pause {
+                    router,
+                    length: Duration::from_secs(12),
+                };
+                case.faults = (0..4)
+                    .map(|i| (at(120 + 60 * i as u64), pause(i * 2)))
+                    .collect();
             }
             "split" => {
-                let split = Fault::SplitViews { length: Duration::from_secs(20) };
+                let split = Fault::SplitViews {
+                    length: Duration::from_secs(20),
+                };
                 case.faults = vec![(at(150), split.clone()), (at(280), split)];
             }
             "cut" => {
-                case.faults = vec![(at(150), Fault::Cut { length: Duration::from_secs(60) })];
+                case.faults = vec![(
+                    at(150),
+                    Fault::Cut {
+                        length: Duration::from_secs(60),
+                    },
+                )];
             }
             "lossy" => case.message_faults = 0.02,
             _ => {}
@@ -166,7 +201,9 @@
         for (index, load) in self.loads.iter_mut().enumerate() {
             if index % 2 == 0 {
                 load.routers = vec![(index / 2) % count];
-                load.arrivals = Arrivals::Backlogged { depth: DEPTH * count };
+                load.arrivals = Arrivals::Backlogged {
+                    depth: DEPTH * count,
+                };
             }
         }
     }
--- a/samphiresill-experiment/src/fairness/deployment.rs
+++ b/samphiresill-experiment/src/fairness/deployment.rs
@@ -56,9 +56,12 @@
     pub fn named(name: &str) -> Option<Self> {
         let micros = Duration::from_micros;
         match name {
-            "brandvold" => {
-                Some(Self::new("brandvold", &[(2, 2), (3, 3), (4, 5)], micros(1_000), micros(250)))
-            }
+            "brandvold" => Some(Self::new(
+                "brandvold",
+                &[(2, 2), (3, 3), (4, 5)],
+                micros(1_000),
+                micros(250),
+            )),
             "amren" => Some(Self::new(
                 "amren",
                 &[(2, 2), (2, 2), (2, 3), (2, 3)],
@@ -93,8 +96,17 @@
             }
         }
         let share = |i| Share(if i < LARGE_CUSTOMERS { LARGE_SHARE } else { 1 });
-        let shares = (0..CUSTOMERS).map(|i| (format!("c{i:02}").into(), share(i))).collect();
-        Self { name, routers, sites, shares, between_domains, within_domain }
+        let shares = (0..CUSTOMERS)
+            .map(|i| (format!("c{i:02}").into(), share(i)))
+            .collect();
+        Self {
+            name,
+            routers,
+            sites,
+            shares,
+            between_domains,
+            within_domain,
+        }
     }
 
     /// The slots of the fleet.
@@ -109,19 +121,33 @@
 
     /// One way between two failure domains.
     pub fn delay(&self, from: &DomainName, to: &DomainName) -> Duration {
-        if from == to { self.within_domain } else { self.between_domains }
+        if from == to {
+            self.within_domain
+        } else {
+            self.between_domains
+        }
     }
 
     /// The routers of a failure domain, as indices.
     pub fn routers_in(&self, domain: &DomainName) -> Vec<usize> {
         let all = self.routers.iter().enumerate();
-        all.filter(|(_, (_, d))| d == domain).map(|(i, _)| i).collect()
+        all.filter(|(_, (_, d))| d == domain)
+            .map(|(i, _)| i)
+            .collect()
     }
 
     /// The configuration document of the fleet.
     pub fn document(&self) -> Document {
-        let model = Model { first_token_ms: 600_000, between_tokens_ms: 60_000, quick_tokens: 256 };
-        let customer = |share| Customer { share, key_hashes: [].into(), max_waiting: 100_000 };
+        let model = Model {
+            first_token_ms: 600_000,
+            between_tokens_ms: 60_000,
+            quick_tokens: 256,
+        };
+        let customer = |share| Customer {
+            share,
+            key_hashes: [].into(),
+            max_waiting: 100_000,
+        };
         let target = |site: &Site| Target {
             domain: site.domain.clone(),
             address: ([127, 0, 0, 1], 1).into(),
@@ -131,10 +157,18 @@
             draining: false,
         };
         Document {
-            customers: self.shares.iter().map(|(n, s)| (n.clone(), customer(*s))).collect(),
+            customers: self
+                .shares
+                .iter()
+                .map(|(n, s)| (n.clone(), customer(*s)))
+                .collect(),
             models: [(WorkName::from(MODEL), model)].into(),
             services: BTreeMap::new(),
-            targets: self.sites.iter().map(|s| (s.name.clone(), target(s))).collect(),
+            targets: self
+                .sites
+                .iter()
+                .map(|s| (s.name.clone(), target(s)))
+                .collect(),
         }
     }
 }
--- a/samphiresill-experiment/src/fairness/measure.rs
+++ b/samphiresill-experiment/src/fairness/measure.rs
@@ -27,7 +27,11 @@
         let is_backlogged = |a: &Arrivals| matches!(a, Arrivals::Backlogged { .. });
         Self {
             shares: deployment.shares.iter().map(|(_, s)| s.as_f64()).collect(),
-            backlogged: case.loads.iter().map(|l| is_backlogged(&l.arrivals)).collect(),
+            backlogged: case
+                .loads
+                .iter()
+                .map(|l| is_backlogged(&l.arrivals))
+                .collect(),
             baseline: None,
             gap: 0.0,
             idle_s: 0.0,
@@ -47,10 +51,15 @@
         let by_share = totals.iter().zip(&self.shares).map(|(t, s)| t / s);
         let by_share: Vec<f64> = by_share.collect();
         let baseline = self.baseline.get_or_insert_with(|| by_share.clone());
-        let since = by_share.iter().zip(baseline.iter()).map(|(now, then)| now - then);
-        let counted = since.zip(&self.backlogged).filter(|(_, b)| **b).map(|(s, _)| s);
-        let (least, most) =
-            counted.fold((f64::MAX, f64::MIN), |(l, m), s| (l.min(s), m.max(s)));
+        let since = by_share
+            .iter()
+            .zip(baseline.iter())
+            .map(|(now, then)| now - then);
+        let counted = since
+            .zip(&self.backlogged)
+            .filter(|(_, b)| **b)
+            .map(|(s, _)| s);
+        let (least, most) = counted.fold((f64::MAX, f64::MIN), |(l, m), s| (l.min(s), m.max(s)));
         self.gap = self.gap.max(most - least);
     }
 
@@ -64,7 +73,8 @@
     /// Notes how long a quick request waited.
     pub fn note_quick_wait(&mut self, now: Duration, arrived: Duration) {
         if arrived >= WARM_UP {
-            self.quick_waits_s.push(now.saturating_sub(arrived).as_secs_f64());
+            self.quick_waits_s
+                .push(now.saturating_sub(arrived).as_secs_f64());
         }
     }
 
@@ -85,12 +95,20 @@
         let first = &deployment.routers[0].1;
         let side = |is_first: bool| {
             let on_side = |domain| !self.is_cut || (domain == first) == is_first;
-            let idle = idle.iter().filter(|(t, _)| on_side(&deployment.sites[*t].domain));
-            let waiting = waiting.iter().filter(|(r, _)| on_side(&deployment.routers[*r].1));
+            let idle = idle
+                .iter()
+                .filter(|(t, _)| on_side(&deployment.sites[*t].domain));
+            let waiting = waiting
+                .iter()
+                .filter(|(r, _)| on_side(&deployment.routers[*r].1));
             let idle: usize = idle.map(|(_, n)| n).sum();
             idle.min(waiting.map(|(_, n)| n).sum::<usize>())
         };
-        let idle = if self.is_cut { side(true) + side(false) } else { side(true) };
+        let idle = if self.is_cut {
+            side(true) + side(false)
+        } else {
+            side(true)
+        };
         self.idle_s += idle as f64 * length;
     }
 
--- a/samphiresill-experiment/src/fairness/mod.rs
+++ b/samphiresill-experiment/src/fairness/mod.rs
@@ -46,14 +46,22 @@
     let mut spec = Spec::new();
     spec.optflag("h", "help", "print this help");
     spec.optopt("", "deployment", "brandvold, amren or all (all)", "NAME");
-    spec.optopt("", "case", &format!("{} or all (all)", NAMES.join(", ")), "NAME");
+    spec.optopt(
+        "",
+        "case",
+        &format!("{} or all (all)", NAMES.join(", ")),
+        "NAME",
+    );
     spec.optopt("", "policy", "only policies whose name begins so", "PREFIX");
     spec.optopt("", "seed", "first seed (1)", "N");
     spec.optopt("", "seeds", "number of seeds (1)", "N");
     spec.optflag("", "json", "print one JSON object a line");
     let given = spec.parse(args)?;
     if given.opt_present("help") {
-        print!("{}", spec.usage("Usage: samphiresill-experiment fairness [OPTIONS]"));
+        print!(
+            "{}",
+            spec.usage("Usage: samphiresill-experiment fairness [OPTIONS]")
+        );
         return Ok(());
     }
     let seed: u64 = given.opt_get_default("seed", 1).context("--seed")?;
@@ -98,17 +106,29 @@
     prefix: &str,
     is_json: bool,
 ) -> anyhow::Result<()> {
-    let ideal = run(deployment, case, Box::new(Ideal::new(deployment, Charge::Progress)), seed);
+    let ideal = run(
+        deployment,
+        case,
+        Box::new(Ideal::new(deployment, Charge::Progress)),
+        seed,
+    );
     let ideal_gap = ideal.gap;
     let mut policies: Vec<Box<dyn Policy>> =
         vec![Box::new(Ideal::new(deployment, Charge::Estimate))];
     for interval in INTERVALS_MS {
         let opts = Options::with_interval(Duration::from_millis(interval));
-        policies.push(Box::new(Granted::new(deployment, opts, case.message_faults, seed)));
+        policies.push(Box::new(Granted::new(
+            deployment,
+            opts,
+            case.message_faults,
+            seed,
+        )));
     }
     policies.push(Box::new(Fixed::new(deployment, true)));
     policies.push(Box::new(Fixed::new(deployment, false)));
-    let wanted = policies.into_iter().filter(|p| p.name().starts_with(prefix));
+    let wanted = policies
+        .into_iter()
+        .filter(|p| p.name().starts_with(prefix));
     if "ideal".starts_with(prefix) {
         print(&ideal, is_json)?;
     }
@@ -143,10 +163,18 @@
 /// The bound that follows from the design, in tokens per unit of share: twice the largest
 /// request for an ideal queue, and for the fleet what it serves until a report counts.
 fn gap_bound(deployment: &Deployment, case: &Case, policy: &str) -> f64 {
-    let smallest_share = deployment.shares.iter().map(|(_, s)| s.as_f64()).fold(f64::MAX, f64::min);
+    let smallest_share = deployment
+        .shares
+        .iter()
+        .map(|(_, s)| s.as_f64())
+        .fold(f64::MAX, f64::min);
     let ideal = 2.0 * MAX_COST as f64 / smallest_share;
-    let interval = INTERVALS_MS.iter().find(|i| policy == format!("granted-{i}ms"));
-    let Some(interval) = interval else { return ideal };
+    let interval = INTERVALS_MS
+        .iter()
+        .find(|i| policy == format!("granted-{i}ms"));
+    let Some(interval) = interval else {
+        return ideal;
+    };
     let factor = case.rate_factors.iter().copied().fold(0.0, f64::max);
     // A report and a summary have to pass before service counts everywhere.
     let delay_s = 2.0 * *interval as f64 / 1_000.0 + 0.01;
@@ -156,8 +184,18 @@
 fn print_header() {
     println!(
         "{:10} {:9} {:4} {:16} {:>8} {:>8} {:>6} {:>7} {:>8} {:>8} {:>8} {:>7}",
-        "deployment", "case", "seed", "policy", "gap", "bound", "ratio", "idle %", "quick50", "quick95",
-        "B/node/s", "msg/n/s"
+        "deployment",
+        "case",
+        "seed",
+        "policy",
+        "gap",
+        "bound",
+        "ratio",
+        "idle %",
+        "quick50",
+        "quick95",
+        "B/node/s",
+        "msg/n/s"
     );
 }
 
--- a/samphiresill-experiment/src/fairness/policy/fixed.rs
+++ b/samphiresill-experiment/src/fairness/policy/fixed.rs
@@ -31,8 +31,10 @@
                 let sharers = deployment.routers_in(&site.domain);
                 let rank = sharers.iter().position(|r| *r == router);
                 site.slots = rank.map_or(0, |rank| {
-                    let (each, rest) =
-                        (site.slots / sharers.len() as u32, site.slots % sharers.len() as u32);
+                    let (each, rest) = (
+                        site.slots / sharers.len() as u32,
+                        site.slots % sharers.len() as u32,
+                    );
                     each + u32::from((rank as u32) < rest)
                 });
             }
@@ -55,7 +57,14 @@
             .routers
             .iter()
             .zip(&self.told)
-            .map(|(router, told)| router.own_given.iter().zip(told).map(|(g, t)| g - t).collect())
+            .map(|(router, told)| {
+                router
+                    .own_given
+                    .iter()
+                    .zip(told)
+                    .map(|(g, t)| g - t)
+                    .collect()
+            })
             .collect();
         for (index, router) in self.routers.iter_mut().enumerate() {
             for (other, amounts) in given.iter().enumerate() {
@@ -70,7 +79,11 @@
 
 impl Policy for Fixed {
     fn name(&self) -> String {
-        if self.gossip { "fixed-gossip".into() } else { "fixed".into() }
+        if self.gossip {
+            "fixed-gossip".into()
+        } else {
+            "fixed".into()
+        }
     }
 
     fn wakes_at(&self) -> Option<Duration> {
@@ -97,7 +110,9 @@
         cost: Tokens,
         progress: Progress,
     ) -> Vec<Decision> {
-        let Some(router) = self.placed_at.remove(&number) else { return Vec::new() };
+        let Some(router) = self.placed_at.remove(&number) else {
+            return Vec::new();
+        };
         self.routers[router].finish(now, number, cost, progress)
     }
 }
--- a/samphiresill-experiment/src/fairness/policy/granted.rs
+++ b/samphiresill-experiment/src/fairness/policy/granted.rs
@@ -130,7 +130,9 @@
                 || (self.seen_alive[other] && !is_split_off && !self.are_apart(router, other))
         };
         let members = (0..self.routers.len()).filter(|o| is_member(*o));
-        let members = members.map(|o| self.deployment.routers[o].clone()).collect();
+        let members = members
+            .map(|o| self.deployment.routers[o].clone())
+            .collect();
         let topology = Topology::new(&self.deployment.document(), members);
         self.handle(now, router, Event::Topology(Arc::new(topology)))
     }
@@ -141,14 +143,18 @@
         for action in actions {
             match action {
                 Action::Send(to, message) => self.send(now, router, &to, message),
-                Action::Start { request, target, .. } => {
+                Action::Start {
+                    request, target, ..
+                } => {
                     let number: usize = request.parse().expect("numbers are the requests' names");
                     let is_target = |s: &super::super::deployment::Site| s.name == target;
                     let target = self.deployment.sites.iter().position(is_target);
                     self.waiting_at[router].remove(&number);
                     self.running_at[router].insert(number);
-                    decisions
-                        .push(Decision::Start { number, target: target.expect("a known target") });
+                    decisions.push(Decision::Start {
+                        number,
+                        target: target.expect("a known target"),
+                    });
                 }
                 Action::Refuse(request, refusal) => {
                     unreachable!("nothing is refused here: {request} {refusal}")
@@ -173,7 +179,9 @@
             return;
         }
         let (vm, domain) = self.deployment.routers[from].clone();
-        let delay = self.deployment.delay(&domain, &self.deployment.routers[to].1);
+        let delay = self
+            .deployment
+            .delay(&domain, &self.deployment.routers[to].1);
         let jitter: f64 = self.rng.random_range(0.8..1.4);
         let mut arrivals = vec![now + delay.mul_f64(jitter)];
         if self.rng.random_bool(self.message_faults) {
@@ -198,7 +206,9 @@
                     self.schedule(paused_until, Due::Arrive { to, item });
                     return Vec::new();
                 }
-                let Some((from, message)) = self.messages.remove(&item) else { return Vec::new() };
+                let Some((from, message)) = self.messages.remove(&item) else {
+                    return Vec::new();
+                };
                 if !self.routers[to].alive {
                     return Vec::new();
                 }
@@ -225,7 +235,10 @@
                     .collect();
                 let alive = (0..self.routers.len()).filter(|r| self.seen_alive[*r]);
                 let alive: Vec<usize> = alive.collect();
-                alive.into_iter().flat_map(|r| self.tell_members(now, r)).collect()
+                alive
+                    .into_iter()
+                    .flat_map(|r| self.tell_members(now, r))
+                    .collect()
             }
         }
     }
@@ -276,7 +289,9 @@
     fn submit(&mut self, now: Duration, offer: Offer, _progress: Progress) -> Vec<Decision> {
         let router = offer.router;
         if !self.routers[router].alive {
-            return vec![Decision::Lost { number: offer.number }];
+            return vec![Decision::Lost {
+                number: offer.number,
+            }];
         }
         self.placed_at.insert(offer.number, router);
         self.waiting_at[router].insert(offer.number);
@@ -284,7 +299,11 @@
             request: offer.number.to_string().into(),
             customer: offer.name,
             work: WorkName::from(MODEL),
-            urgency: if offer.is_quick { Urgency::Quick } else { Urgency::Patient },
+            urgency: if offer.is_quick {
+                Urgency::Quick
+            } else {
+                Urgency::Patient
+            },
             limit: offer.limit,
             deadline: Duration::MAX,
             is_retry: false,
@@ -299,10 +318,16 @@
         cost: Tokens,
         _progress: Progress,
     ) -> Vec<Decision> {
-        let Some(router) = self.placed_at.remove(&number) else { return Vec::new() };
+        let Some(router) = self.placed_at.remove(&number) else {
+            return Vec::new();
+        };
         self.running_at[router].remove(&number);
         let request = || number.to_string().into();
-        let observed = Observed { first_token_ms: 1, between_tokens_us: 0, failed: false };
+        let observed = Observed {
+            first_token_ms: 1,
+            between_tokens_us: 0,
+            failed: false,
+        };
         let mut decisions = self.handle(now, router, Event::Progress(request(), cost));
         decisions.extend(self.handle(now, router, Event::Finished(request(), observed)));
         decisions
@@ -318,7 +343,9 @@
                 let waiting = std::mem::take(&mut self.waiting_at[*router]);
                 let lost: Vec<usize> = running.into_iter().chain(waiting).collect();
                 self.placed_at.retain(|number, _| !lost.contains(number));
-                lost.into_iter().map(|number| Decision::Lost { number }).collect()
+                lost.into_iter()
+                    .map(|number| Decision::Lost { number })
+                    .collect()
             }
             Fault::Pause { router, length } => {
                 self.routers[*router].paused_until = now + *length;
--- a/samphiresill-experiment/src/fairness/policy/ideal.rs
+++ b/samphiresill-experiment/src/fairness/policy/ideal.rs
@@ -61,7 +61,10 @@
 
     /// Adds service that was given elsewhere, in proportion to the shares.
     pub fn add_served(&mut self, amounts: &[f64]) {
-        self.served.iter_mut().zip(amounts).for_each(|(served, amount)| *served += amount);
+        self.served
+            .iter_mut()
+            .zip(amounts)
+            .for_each(|(served, amount)| *served += amount);
     }
 
     fn charged(&self, progress: Progress) -> Vec<f64> {
@@ -90,14 +93,27 @@
             let Some(customer) = waiting.min_by(|a, b| charged[*a].total_cmp(&charged[*b])) else {
                 return decisions;
             };
-            let Some(offer) = self.queues[customer].pop_front() else { return decisions };
+            let Some(offer) = self.queues[customer].pop_front() else {
+                return decisions;
+            };
             self.was_waiting[customer] = !self.queues[customer].is_empty();
             self.free[target] -= 1;
             let work = WorkName::from(MODEL);
             let estimate =
-                self.estimator.estimate(&offer.name, &work, Urgency::Patient, offer.limit);
-            decisions.push(Decision::Start { number: offer.number, target });
-            self.running.insert(offer.number, Running { offer, estimate, target });
+                self.estimator
+                    .estimate(&offer.name, &work, Urgency::Patient, offer.limit);
+            decisions.push(Decision::Start {
+                number: offer.number,
+                target,
+            });
+            self.running.insert(
+                offer.number,
+                Running {
+                    offer,
+                    estimate,
+                    target,
+                },
+            );
         }
     }
 }
@@ -139,13 +155,16 @@
         cost: Tokens,
         progress: Progress,
     ) -> Vec<Decision> {
-        let Some(running) = self.running.remove(&number) else { return Vec::new() };
+        let Some(running) = self.running.remove(&number) else {
+            return Vec::new();
+        };
         let offer = &running.offer;
         self.free[running.target] += 1;
         let amount = cost.as_f64() / self.shares[offer.customer];
         self.served[offer.customer] += amount;
         self.own_given[offer.customer] += amount;
-        self.estimator.learn(&offer.name, &WorkName::from(MODEL), Urgency::Patient, cost);
+        self.estimator
+            .learn(&offer.name, &WorkName::from(MODEL), Urgency::Patient, cost);
         self.place(progress)
     }
 }
--- a/samphiresill-experiment/src/fairness/world.rs
+++ b/samphiresill-experiment/src/fairness/world.rs
@@ -66,7 +66,11 @@
         policy: Box<dyn Policy + 'a>,
         seed: u64,
     ) -> Self {
-        let rates = deployment.sites.iter().zip(&case.rate_factors).map(|(s, f)| s.rate * f);
+        let rates = deployment
+            .sites
+            .iter()
+            .zip(&case.rate_factors)
+            .map(|(s, f)| s.rate * f);
         Self {
             deployment,
             case,
@@ -100,7 +104,9 @@
         loop {
             let own = self.happenings.peek().map(|Reverse((at, _, _))| *at);
             let policy = self.policy.wakes_at();
-            let Some(now) = own.into_iter().chain(policy).min() else { break };
+            let Some(now) = own.into_iter().chain(policy).min() else {
+                break;
+            };
             if now > LENGTH {
                 break;
             }
@@ -108,13 +114,17 @@
             if policy == Some(now) {
                 let requests = &self.requests;
                 let rates = &self.rates;
-                let decisions = self.policy.advance(now, &|n| served(requests, rates, n, now));
+                let decisions = self
+                    .policy
+                    .advance(now, &|n| served(requests, rates, n, now));
                 self.apply(now, decisions);
             }
             while let Some(Reverse((at, _, _))) = self.happenings.peek()
                 && *at <= now
             {
-                let Some(Reverse((_, _, happening))) = self.happenings.pop() else { break };
+                let Some(Reverse((_, _, happening))) = self.happenings.pop() else {
+                    break;
+                };
                 self.happen(now, happening);
             }
         }
@@ -134,7 +144,10 @@
                 self.submit(now, customer, None);
                 if let Arrivals::Poisson { rate } = self.case.loads[customer].arrivals {
                     let gap = -self.rng.random_range(f64::EPSILON..1.0f64).ln() / rate;
-                    self.at(now + Duration::from_secs_f64(gap), Happening::Arrive { customer });
+                    self.at(
+                        now + Duration::from_secs_f64(gap),
+                        Happening::Arrive { customer },
+                    );
                 }
             }
             Happening::Resubmit { customer, router } => {
@@ -183,20 +196,30 @@
             _ => 0,
         };
         let waiting = |r: &usize| self.waiting.get(&(customer, *r)).copied().unwrap_or(0);
-        let up = load.routers.iter().copied().filter(|r| self.policy.is_up(*r));
+        let up = load
+            .routers
+            .iter()
+            .copied()
+            .filter(|r| self.policy.is_up(*r));
         let router = up.min_by_key(waiting)?;
         (waiting(&router) < depth).then_some((customer, router))
     }
 
     fn submit(&mut self, now: Duration, customer: usize, router: Option<usize>) {
         let load: &Load = &self.case.loads[customer];
-        let router = router
-            .unwrap_or_else(|| load.routers[self.rng.random_range(0..load.routers.len())]);
+        let router =
+            router.unwrap_or_else(|| load.routers[self.rng.random_range(0..load.routers.len())]);
         let spread = (load.max_cost as f64 / load.min_cost as f64).ln();
         let cost = (load.min_cost as f64 * (spread * self.rng.random::<f64>()).exp()) as u64;
         let number = self.next_request;
         self.next_request += 1;
-        let request = Request { customer, router, cost, arrived: now, running: None };
+        let request = Request {
+            customer,
+            router,
+            cost,
+            arrived: now,
+            running: None,
+        };
         self.requests.insert(number, request);
         *self.waiting.entry((customer, router)).or_default() += 1;
         let offer = Offer {
@@ -208,7 +231,9 @@
             is_quick: load.is_quick,
         };
         let (requests, rates) = (&self.requests, &self.rates);
-        let decisions = self.policy.submit(now, offer, &|n| served(requests, rates, n, now));
+        let decisions = self
+            .policy
+            .submit(now, offer, &|n| served(requests, rates, n, now));
         self.apply(now, decisions);
     }
 
@@ -237,15 +262,21 @@
         self.running[target] += 1;
         self.next += 1;
         let run = self.next;
-        let Some(request) = self.requests.get_mut(&number) else { return };
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
         request.running = Some((target, now, run));
         let length = Duration::from_secs_f64(request.cost as f64 / self.rates[target]);
         self.at(now + length, Happening::Done { number, run });
     }
 
     fn done(&mut self, now: Duration, number: usize, run: u64) {
-        let Some(request) = self.requests.get(&number).cloned() else { return };
-        let Some((target, _, current)) = request.running else { return };
+        let Some(request) = self.requests.get(&number).cloned() else {
+            return;
+        };
+        let Some((target, _, current)) = request.running else {
+            return;
+        };
         if current != run {
             return;
         }
@@ -254,7 +285,9 @@
         self.free(now, target);
         let cost = Tokens(request.cost);
         let (requests, rates) = (&self.requests, &self.rates);
-        let decisions = self.policy.finish(now, number, cost, &|n| served(requests, rates, n, now));
+        let decisions = self
+            .policy
+            .finish(now, number, cost, &|n| served(requests, rates, n, now));
         self.apply(now, decisions);
     }
 
@@ -268,21 +301,30 @@
     /// A router has died with a request: its caller sends it again to another one.
     fn lose(&mut self, now: Duration, number: usize) {
         let got = served(&self.requests, &self.rates, number, now);
-        let Some(request) = self.requests.remove(&number) else { return };
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
         match request.running {
             Some((target, _, _)) => {
                 self.ended[request.customer] += got.0;
                 self.free(now, target);
             }
             None => {
-                self.queued.iter_mut().for_each(|q| q.retain(|n| *n != number));
+                self.queued
+                    .iter_mut()
+                    .for_each(|q| q.retain(|n| *n != number));
                 let place = (request.customer, request.router);
                 let waiting = self.waiting.entry(place).or_default();
                 *waiting = waiting.saturating_sub(1);
             }
         }
-        let others = self.deployment.routers_in(&self.deployment.routers[request.router].1);
-        let router = others.into_iter().find(|r| *r != request.router).unwrap_or(request.router);
+        let others = self
+            .deployment
+            .routers_in(&self.deployment.routers[request.router].1);
+        let router = others
+            .into_iter()
+            .find(|r| *r != request.router)
+            .unwrap_or(request.router);
         let customer = request.customer;
         self.at(now + CALLER_RETRY, Happening::Resubmit { customer, router });
     }
@@ -290,8 +332,7 @@
     fn totals(&self, now: Duration) -> Vec<f64> {
         let mut totals: Vec<f64> = self.ended.iter().map(|t| *t as f64).collect();
         for (number, request) in &self.requests {
-            totals[request.customer] +=
-                served(&self.requests, &self.rates, *number, now).as_f64();
+            totals[request.customer] += served(&self.requests, &self.rates, *number, now).as_f64();
         }
         totals
     }
@@ -304,9 +345,14 @@
             .map(|(i, (s, running))| (i, s.slots as usize - (*running).min(s.slots as usize)))
             .filter(|(_, idle)| *idle > 0)
             .collect();
-        let waiting: Vec<(usize, usize)> =
-            self.waiting.iter().filter(|(_, n)| **n > 0).map(|((_, r), n)| (*r, *n)).collect();
-        self.measure.note_idle(now, self.deployment, &idle, &waiting);
+        let waiting: Vec<(usize, usize)> = self
+            .waiting
+            .iter()
+            .filter(|(_, n)| **n > 0)
+            .map(|((_, r), n)| (*r, *n))
+            .collect();
+        self.measure
+            .note_idle(now, self.deployment, &idle, &waiting);
     }
 }
 
@@ -317,8 +363,12 @@
     number: usize,
     now: Duration,
 ) -> Tokens {
-    let Some(request) = requests.get(&number) else { return Tokens(0) };
-    let Some((target, since, _)) = request.running else { return Tokens(0) };
+    let Some(request) = requests.get(&number) else {
+        return Tokens(0);
+    };
+    let Some((target, since, _)) = request.running else {
+        return Tokens(0);
+    };
     let tokens = (now.saturating_sub(since).as_secs_f64() * rates[target]) as u64;
     Tokens(tokens.min(request.cost))
 }
--- a/samphiresill-experiment/src/latency.rs
+++ b/samphiresill-experiment/src/latency.rs
@@ -13,7 +13,12 @@
 pub fn command(args: &[String]) -> anyhow::Result<()> {
     let mut spec = Options::new();
     spec.optflag("h", "help", "print this help");
-    spec.optopt("", "direct", "address of an engine (127.0.0.1:8201)", "IP:PORT");
+    spec.optopt(
+        "",
+        "direct",
+        "address of an engine (127.0.0.1:8201)",
+        "IP:PORT",
+    );
     spec.optopt("", "via", "address of a router (127.0.0.1:8401)", "IP:PORT");
     spec.optopt("", "key", "caller's key (counter-example-key)", "KEY");
     spec.optopt("", "model", "model (letters)", "NAME");
@@ -22,13 +27,21 @@
     spec.optflag("", "json", "print JSON");
     let given = spec.parse(args)?;
     if given.opt_present("help") {
-        print!("{}", spec.usage("Usage: samphiresill-experiment latency [OPTIONS]"));
+        print!(
+            "{}",
+            spec.usage("Usage: samphiresill-experiment latency [OPTIONS]")
+        );
         return Ok(());
     }
     let text = |name: &str, default: &str| given.opt_str(name).unwrap_or_else(|| default.into());
-    let (direct, via) = (text("direct", "127.0.0.1:8201"), text("via", "127.0.0.1:8401"));
+    let (direct, via) = (
+        text("direct", "127.0.0.1:8201"),
+        text("via", "127.0.0.1:8401"),
+    );
     let (key, model) = (text("key", "counter-example-key"), text("model", "letters"));
-    let requests: usize = given.opt_get_default("requests", 200).context("--requests")?;
+    let requests: usize = given
+        .opt_get_default("requests", 200)
+        .context("--requests")?;
     let tokens: usize = given.opt_get_default("tokens", 20).context("--tokens")?;
     let mut ways = [Way::new("direct"), Way::new("via")];
     for number in 0..requests {
@@ -57,7 +70,11 @@
 
 impl Way {
     fn new(name: &'static str) -> Self {
-        Self { name, firsts: Vec::new(), gaps: Vec::new() }
+        Self {
+            name,
+            firsts: Vec::new(),
+            gaps: Vec::new(),
+        }
     }
 }
 
@@ -78,7 +95,12 @@
     };
     let [direct, via] = [figures(&ways[0]), figures(&ways[1])];
     let added: Vec<f64> = via.iter().zip(direct).map(|(v, d)| v - d).collect();
-    let names = ["first_p50_ms", "first_p95_ms", "between_p50_ms", "between_p95_ms"];
+    let names = [
+        "first_p50_ms",
+        "first_p95_ms",
+        "between_p50_ms",
+        "between_p95_ms",
+    ];
     for (index, name) in names.iter().enumerate() {
         if is_json {
             let line = json!({
--- a/samphiresill-experiment/src/load.rs
+++ b/samphiresill-experiment/src/load.rs
@@ -14,14 +14,22 @@
 pub fn command(args: &[String]) -> anyhow::Result<()> {
     let mut spec = Options::new();
     spec.optflag("h", "help", "print this help");
-    spec.optopt("", "routers", "addresses, comma between them", "IP:PORT,...");
+    spec.optopt(
+        "",
+        "routers",
+        "addresses, comma between them",
+        "IP:PORT,...",
+    );
     spec.optopt("", "keys", "callers' keys, comma between them", "KEY,...");
     spec.optopt("", "model", "model (letters)", "NAME");
     spec.optopt("", "requests", "requests in all (600)", "N");
     spec.optopt("", "concurrency", "requests at once (300)", "N");
     let given = spec.parse(args)?;
     if given.opt_present("help") {
-        print!("{}", spec.usage("Usage: samphiresill-experiment load [OPTIONS]"));
+        print!(
+            "{}",
+            spec.usage("Usage: samphiresill-experiment load [OPTIONS]")
+        );
         return Ok(());
     }
     let list = |name: &str, default: &str| -> Vec<String> {
@@ -29,10 +37,17 @@
         text.split(',').map(str::to_owned).collect()
     };
     let routers = list("routers", "127.0.0.1:8401,127.0.0.1:8501,127.0.0.1:8601");
-    let keys = list("keys", "counter-example-key,warehouse-example-key,dealers-example-key");
+    let keys = list(
+        "keys",
+        "counter-example-key,warehouse-example-key,dealers-example-key",
+    );
     let model = given.opt_str("model").unwrap_or_else(|| "letters".into());
-    let requests: usize = given.opt_get_default("requests", 600).context("--requests")?;
-    let concurrency: usize = given.opt_get_default("concurrency", 300).context("--concurrency")?;
+    let requests: usize = given
+        .opt_get_default("requests", 600)
+        .context("--requests")?;
+    let concurrency: usize = given
+        .opt_get_default("concurrency", 300)
+        .context("--concurrency")?;
     let next = AtomicUsize::new(0);
     let wrong = AtomicUsize::new(0);
     let start = Instant::now();
@@ -55,7 +70,10 @@
         }
     });
     let wrong = wrong.into_inner();
-    println!("{requests} requests, {wrong} wrong, {:.1} s", start.elapsed().as_secs_f64());
+    println!(
+        "{requests} requests, {wrong} wrong, {:.1} s",
+        start.elapsed().as_secs_f64()
+    );
     if wrong > 0 {
         bail!("{wrong} of {requests} answers were wrong");
     }
--- a/samphiresill-experiment/src/main.rs
+++ b/samphiresill-experiment/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments with the fleet's decisions; `--help` lists them.
 
 mod caller;
+mod capacity;
 mod fairness;
 mod latency;
 mod load;
@@ -15,6 +16,7 @@
 
 Commands:
   fairness   compare the ways to share capacity, on the real decision code
+  capacity   the slopes that docs/CAPACITY.md is worked out from
   latency    time that routers add to the first token and between tokens
   load       many requests at once, every answer checked byte for byte
 
@@ -29,6 +31,7 @@
     };
     let result = match command {
         "fairness" => fairness::command(rest),
+        "capacity" => capacity::command(rest),
         "latency" => latency::command(rest),
         "load" => load::command(rest),
         "--help" | "-h" => {
--- a/samphiresill-member/src/member.rs
+++ b/samphiresill-member/src/member.rs
@@ -19,9 +19,7 @@
 }
 
 /// `Health` is what is believed of a router; later ones override earlier ones.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[display(rename_all = "lowercase")]
 pub enum Health {
     /// It answers.
--- a/samphiresill-member/src/membership.rs
+++ b/samphiresill-member/src/membership.rs
@@ -140,7 +140,10 @@
     pub fn add_seeds(&mut self, seeds: Vec<Member>) {
         for seed in seeds {
             if seed.vm != self.own.vm && !self.members.contains_key(&seed.vm) {
-                let member = Member { health: Health::Dead, ..seed };
+                let member = Member {
+                    health: Health::Dead,
+                    ..seed
+                };
                 self.members.insert(member.vm.clone(), member);
             }
         }
@@ -162,15 +165,25 @@
     #[must_use]
     pub fn usable(&self) -> BTreeMap<VmName, DomainName> {
         let all = self.members.values().chain(std::iter::once(&self.own));
-        all.filter(|m| m.is_usable()).map(|m| (m.vm.clone(), m.domain.clone())).collect()
+        all.filter(|m| m.is_usable())
+            .map(|m| (m.vm.clone(), m.domain.clone()))
+            .collect()
     }
 
     /// Says that this router is about to stop.
     pub fn leave(&mut self) -> Vec<Output> {
         self.own.health = Health::Leaving;
         self.news.add(self.own.clone(), self.members.len());
-        let to: Vec<Member> = self.members.values().filter(|m| m.is_usable()).cloned().collect();
-        let view = Message::View { members: vec![self.own.clone()], wants_reply: false };
+        let to: Vec<Member> = self
+            .members
+            .values()
+            .filter(|m| m.is_usable())
+            .cloned()
+            .collect();
+        let view = Message::View {
+            members: vec![self.own.clone()],
+            wants_reply: false,
+        };
         let sends = to.into_iter().map(|m| Output::Send(m, view.clone()));
         std::iter::once(Output::Changed).chain(sends).collect()
     }
@@ -191,11 +204,21 @@
             Message::PingFor { seq, vm } => {
                 self.probe(now, &vm, Some((from.clone(), seq)), &mut out);
             }
-            Message::View { members, wants_reply } => {
+            Message::View {
+                members,
+                wants_reply,
+            } => {
                 self.learn_all(now, members, &mut out);
                 if wants_reply {
                     let members = self.view_part();
-                    self.send(from, Message::View { members, wants_reply: false }, &mut out);
+                    self.send(
+                        from,
+                        Message::View {
+                            members,
+                            wants_reply: false,
+                        },
+                        &mut out,
+                    );
                 }
             }
         }
@@ -254,7 +277,8 @@
             return;
         }
         let was_usable = known.is_some_and(Member::is_usable);
-        let has_moved = known.is_some_and(|k| k.incarnation.start_ms != member.incarnation.start_ms);
+        let has_moved =
+            known.is_some_and(|k| k.incarnation.start_ms != member.incarnation.start_ms);
         if was_usable != member.is_usable() || has_moved {
             out.push(Output::Changed);
         }
@@ -267,7 +291,10 @@
     fn refute(&mut self, said: &Member) {
         let is_false = said.incarnation >= self.own.incarnation && said.health > self.own.health;
         if is_false || said.incarnation > self.own.incarnation {
-            let refutations = said.incarnation.refutations.max(self.own.incarnation.refutations);
+            let refutations = said
+                .incarnation
+                .refutations
+                .max(self.own.incarnation.refutations);
             self.own.incarnation.refutations = refutations + 1;
             self.own.incarnation.start_ms =
                 self.own.incarnation.start_ms.max(said.incarnation.start_ms);
@@ -276,7 +303,9 @@
     }
 
     fn note_ack(&mut self, now: Duration, seq: u64, out: &mut Vec<Output>) {
-        let Some(probe) = self.probes.remove(&seq) else { return };
+        let Some(probe) = self.probes.remove(&seq) else {
+            return;
+        };
         if let Some((asker, seq)) = probe.on_behalf_of {
             let news = self.members.get(&probe.vm).cloned().into_iter().collect();
             return self.send(&asker, Message::Ack { seq, news }, out);
@@ -299,7 +328,12 @@
     ) {
         self.next_seq += 1;
         let seq = self.next_seq;
-        let probe = Probe { vm: vm.clone(), sent_at: now, is_indirect: false, on_behalf_of };
+        let probe = Probe {
+            vm: vm.clone(),
+            sent_at: now,
+            is_indirect: false,
+            on_behalf_of,
+        };
         self.probes.insert(seq, probe);
         let news = self.take_news();
         self.send(vm, Message::Ping { seq, news }, out);
@@ -330,11 +364,21 @@
         if let Some(probe) = self.probes.get_mut(&seq) {
             probe.is_indirect = true;
         }
-        let usable = self.members.values().filter(|m| m.is_usable() && m.vm != *vm);
+        let usable = self
+            .members
+            .values()
+            .filter(|m| m.is_usable() && m.vm != *vm);
         let mut others: Vec<VmName> = usable.map(|m| m.vm.clone()).collect();
         others.shuffle(&mut self.rng);
         for other in others.into_iter().take(INDIRECT_PROBES) {
-            self.send(&other, Message::PingFor { seq, vm: vm.clone() }, out);
+            self.send(
+                &other,
+                Message::PingFor {
+                    seq,
+                    vm: vm.clone(),
+                },
+                out,
+            );
         }
     }
 
@@ -342,7 +386,10 @@
         let Some(member) = self.members.get(vm).filter(|m| m.health == Health::Alive) else {
             return;
         };
-        let suspect = Member { health: Health::Suspect, ..member.clone() };
+        let suspect = Member {
+            health: Health::Suspect,
+            ..member.clone()
+        };
         self.learn(now, suspect, out);
     }
 
@@ -353,8 +400,12 @@
         };
         let since = |vm: &VmName| self.since.get(vm).copied().unwrap_or_default();
         let over = self.members.values().filter(|m| is_over(m, since(&m.vm)));
-        let dead: Vec<Member> =
-            over.map(|m| Member { health: Health::Dead, ..m.clone() }).collect();
+        let dead: Vec<Member> = over
+            .map(|m| Member {
+                health: Health::Dead,
+                ..m.clone()
+            })
+            .collect();
         for member in dead {
             self.learn(now, member, out);
         }
@@ -388,7 +439,10 @@
 
     /// Asks every router that is known at the start for its view.
     fn greet_all(&mut self, out: &mut Vec<Output>) {
-        let message = Message::View { members: vec![self.own.clone()], wants_reply: true };
+        let message = Message::View {
+            members: vec![self.own.clone()],
+            wants_reply: true,
+        };
         let all = self.members.values().take(SYNC_MEMBERS);
         out.extend(all.map(|m| Output::Send(m.clone(), message.clone())));
     }
@@ -398,14 +452,19 @@
         let members = self.view_part();
         let (alive, gone): (Vec<&Member>, Vec<&Member>) =
             self.members.values().partition(|m| m.is_usable());
-        let gone: Vec<&Member> =
-            gone.into_iter().filter(|m| m.health == Health::Dead).collect();
+        let gone: Vec<&Member> = gone
+            .into_iter()
+            .filter(|m| m.health == Health::Dead)
+            .collect();
         for group in [alive, gone] {
             if group.is_empty() {
                 continue;
             }
             let member = group[self.rng.random_range(0..group.len())].clone();
-            let message = Message::View { members: members.clone(), wants_reply: true };
+            let message = Message::View {
+                members: members.clone(),
+                wants_reply: true,
+            };
             out.push(Output::Send(member, message));
         }
     }
--- a/samphiresill-member/src/news.rs
+++ b/samphiresill-member/src/news.rs
@@ -24,8 +24,11 @@
 
     /// Takes the news for one message: those first that were passed on least.
     pub fn take(&mut self) -> Vec<Member> {
-        let mut order: Vec<(u32, VmName)> =
-            self.left.iter().map(|(vm, (_, left))| (*left, vm.clone())).collect();
+        let mut order: Vec<(u32, VmName)> = self
+            .left
+            .iter()
+            .map(|(vm, (_, left))| (*left, vm.clone()))
+            .collect();
         order.sort_by(|a, b| b.cmp(a));
         let chosen = order.into_iter().take(MAX_PER_MESSAGE).map(|(_, vm)| vm);
         chosen.filter_map(|vm| self.pass_on(&vm)).collect()
--- a/samphiresill-member/src/tests.rs
+++ b/samphiresill-member/src/tests.rs
@@ -25,7 +25,10 @@
         vm: format!("r{number}").into(),
         domain: format!("d{}", number % 3).into(),
         address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
-        incarnation: Incarnation { start_ms, refutations: 0 },
+        incarnation: Incarnation {
+            start_ms,
+            refutations: 0,
+        },
         health: Health::Alive,
     }
 }
@@ -52,13 +55,19 @@
                 if self.silent.contains(&to) || (self.dropped)(&from, &to) {
                     continue;
                 }
-                let Some(view) = self.views.get_mut(&to) else { continue };
+                let Some(view) = self.views.get_mut(&to) else {
+                    continue;
+                };
                 let out = view.receive(self.now, &from, message);
                 self.send(&to, out);
             }
             for vm in self.views.keys().cloned().collect::<Vec<_>>() {
                 if !self.silent.contains(&vm) {
-                    let out = self.views.get_mut(&vm).expect("a known router").tick(self.now);
+                    let out = self
+                        .views
+                        .get_mut(&vm)
+                        .expect("a known router")
+                        .tick(self.now);
                     self.send(&vm, out);
                 }
             }
@@ -76,7 +85,12 @@
 
     fn sees(&self, vm: &str, count: usize) {
         let usable = self.views[&VmName::from(vm)].usable();
-        assert_eq!(usable.len(), count, "{vm} at {:?} sees {usable:?}", self.now);
+        assert_eq!(
+            usable.len(),
+            count,
+            "{vm} at {:?} sees {usable:?}",
+            self.now
+        );
     }
 
     fn all_see(&self, count: usize) {
@@ -142,7 +156,10 @@
     let mut group = Group::new(5);
     group.run(Duration::from_secs(10));
     let seeds = vec![member(0, 0), member(1, 0)];
-    group.views.insert("r4".into(), Membership::new(member(4, 2), seeds, Options::default(), 77));
+    group.views.insert(
+        "r4".into(),
+        Membership::new(member(4, 2), seeds, Options::default(), 77),
+    );
     group.run(Duration::from_secs(10));
     group.all_see(5);
     let known = &group.views[&VmName::from("r0")].members()[&VmName::from("r4")];
@@ -153,7 +170,11 @@
 fn a_leaving_router_is_not_used_any_more() {
     let mut group = Group::new(5);
     group.run(Duration::from_secs(10));
-    let out = group.views.get_mut(&VmName::from("r3")).expect("a known router").leave();
+    let out = group
+        .views
+        .get_mut(&VmName::from("r3"))
+        .expect("a known router")
+        .leave();
     group.send(&"r3".into(), out);
     group.run(Duration::from_secs(1));
     group.all_see(4);
@@ -169,5 +190,8 @@
         group.sent as f64 / count as f64 / 20.0
     };
     let (small, large) = (rate(9), rate(100));
-    assert!(large < small * 1.5, "{small} messages a second with 9, {large} with 100");
+    assert!(
+        large < small * 1.5,
+        "{small} messages a second with 9, {large} with 100"
+    );
 }
--- a/samphiresill-platform/src/http.rs
+++ b/samphiresill-platform/src/http.rs
@@ -38,7 +38,8 @@
     /// `Refused` or `NoReply`.
     pub fn put_object(&self, key: &str, value: String) -> Result<()> {
         let path = format!("/v1/objects/{key}");
-        self.call::<serde_json::Value>(self.request(Method::PUT, &path), value).map(drop)
+        self.call::<serde_json::Value>(self.request(Method::PUT, &path), value)
+            .map(drop)
     }
 
     /// Reads an object; nothing when it is absent.
@@ -77,7 +78,9 @@
             200 => serde_json::from_str(&text).map_err(|e| no_reply(e.to_string())),
             409 => {
                 let answer: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-                Err(Error::Conflict { key: answer["failed"].as_str().unwrap_or("").to_owned() })
+                Err(Error::Conflict {
+                    key: answer["failed"].as_str().unwrap_or("").to_owned(),
+                })
             }
             status => Err(Error::Refused { status }),
         }
@@ -86,7 +89,8 @@
 
 impl Table for Platform {
     fn transact(&self, transaction: &Transaction) -> Result<()> {
-        self.post::<serde_json::Value>("/v1/transaction", &json!(transaction)).map(drop)
+        self.post::<serde_json::Value>("/v1/transaction", &json!(transaction))
+            .map(drop)
     }
 
     fn get(&self, keys: &[String]) -> Result<Vec<Row>> {
@@ -94,6 +98,9 @@
     }
 
     fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
-        self.post("/v1/scan", &json!({"prefix": prefix, "after": after, "limit": limit}))
+        self.post(
+            "/v1/scan",
+            &json!({"prefix": prefix, "after": after, "limit": limit}),
+        )
     }
 }
--- a/samphiresill-proto/src/convert.rs
+++ b/samphiresill-proto/src/convert.rs
@@ -38,7 +38,11 @@
 
 /// The message of an object.
 #[must_use]
-pub fn object_to_proto(id: &ObjectId, value: Option<&object::Object>, revision: u64) -> generated::Object {
+pub fn object_to_proto(
+    id: &ObjectId,
+    value: Option<&object::Object>,
+    revision: u64,
+) -> generated::Object {
     generated::Object {
         kind: kind_to_proto(id.kind).into(),
         name: id.name.clone(),
@@ -82,9 +86,16 @@
 pub fn operation_from_proto(operation: generated::Operation) -> Result<Operation> {
     let missing = || Error::invalid("operation.object", "nothing", "an object");
     let object = operation.object.ok_or_else(missing)?;
-    let id = ObjectId { kind: kind_from_proto(object.kind)?, name: object.name };
+    let id = ObjectId {
+        kind: kind_from_proto(object.kind)?,
+        name: object.name,
+    };
     let value = object.value.map(|v| value_from_proto(&id, v)).transpose()?;
-    Ok(Operation { id, value, expected: operation.expected_revision })
+    Ok(Operation {
+        id,
+        value,
+        expected: operation.expected_revision,
+    })
 }
 
 /// The object that a value of a message stands for.
@@ -111,7 +122,11 @@
         Value::Target(t) => object::Object::Target(object::Target {
             domain: t.domain.into(),
             address: t.address.parse().map_err(|_| {
-                Error::invalid(format!("{id}.address"), format!("{:?}", t.address), "IP:port")
+                Error::invalid(
+                    format!("{id}.address"),
+                    format!("{:?}", t.address),
+                    "IP:port",
+                )
             })?,
             serves: t.serves.into_iter().map(WorkName::from).collect(),
             slots: t.slots,
@@ -126,7 +141,11 @@
 pub fn objects_to_proto(snapshot: &Snapshot) -> Vec<generated::Object> {
     let objects = snapshot.document.objects();
     let message = |(id, value): (ObjectId, object::Object)| {
-        let revision = snapshot.object_revisions.get(&id.to_string()).copied().unwrap_or(0);
+        let revision = snapshot
+            .object_revisions
+            .get(&id.to_string())
+            .copied()
+            .unwrap_or(0);
         object_to_proto(&id, Some(&value), revision)
     };
     objects.into_iter().map(message).collect()
--- a/samphiresill-protogen/src/tests.rs
+++ b/samphiresill-protogen/src/tests.rs
@@ -13,5 +13,8 @@
     let fresh = fs::read_to_string(out.join(name)).expect("generated code");
     let committed = fs::read_to_string(root.join("src/generated").join(name)).expect("committed");
     fs::remove_dir_all(&out).expect("the folder can be removed");
-    assert!(fresh == committed, "run `cargo run -p samphiresill-protogen` and commit the result");
+    assert!(
+        fresh == committed,
+        "run `cargo run -p samphiresill-protogen` and commit the result"
+    );
 }
--- a/samphiresill-router/src/main.rs
+++ b/samphiresill-router/src/main.rs
@@ -24,20 +24,30 @@
     spec.optflag("h", "help", "print this help");
     spec.optflag("V", "version", "print the version");
     spec.optflag("", "check-config", "check the settings and start nothing");
-    spec.optopt("c", "config", "file with the settings, JSON with comments", "FILE");
+    spec.optopt(
+        "c",
+        "config",
+        "file with the settings, JSON with comments",
+        "FILE",
+    );
     let given = match spec.parse(&args) {
         Ok(given) => given,
         Err(e) => return usage(&e.to_string()),
     };
     if given.opt_present("help") {
-        print!("{}", spec.usage("Usage: samphiresill-router --config FILE [--check-config]"));
+        print!(
+            "{}",
+            spec.usage("Usage: samphiresill-router --config FILE [--check-config]")
+        );
         return ExitCode::SUCCESS;
     }
     if given.opt_present("version") {
         println!("samphiresill-router {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let Some(path) = given.opt_str("config") else { return usage("--config FILE is missing") };
+    let Some(path) = given.opt_str("config") else {
+        return usage("--config FILE is missing");
+    };
     let settings = match read_settings(&path) {
         Ok(settings) => settings,
         Err(e) => return usage(&format!("{path}: {e:#}")),
--- a/samphiresill-sched/src/estimate.rs
+++ b/samphiresill-sched/src/estimate.rs
@@ -28,7 +28,10 @@
         limit: Tokens,
     ) -> Tokens {
         let key = (customer.clone(), work.clone(), urgency);
-        let mean = self.means.get(&key).map_or(FIRST_ESTIMATE_TOKENS, |m| m.ceil() as u64);
+        let mean = self
+            .means
+            .get(&key)
+            .map_or(FIRST_ESTIMATE_TOKENS, |m| m.ceil() as u64);
         Tokens(mean.clamp(1, limit.0.max(1)))
     }
 
--- a/samphiresill-sched/src/ledger.rs
+++ b/samphiresill-sched/src/ledger.rs
@@ -57,7 +57,10 @@
     /// When more is taken back than was charged: "charges in advance are conserved".
     pub fn unreserve(&mut self, customer: &CustomerName, amount: Tokens) {
         let outstanding = self.outstanding.entry(customer.clone()).or_default();
-        assert!(*outstanding >= amount, "charges in advance are conserved: {customer}");
+        assert!(
+            *outstanding >= amount,
+            "charges in advance are conserved: {customer}"
+        );
         *outstanding = outstanding.saturating_sub(amount);
         self.changed.insert(customer.clone());
         if outstanding.0 == 0 {
@@ -83,7 +86,11 @@
     /// Every customer that has an account.
     #[must_use]
     pub fn customers(&self) -> BTreeSet<CustomerName> {
-        self.virtual_times.keys().chain(self.outstanding.keys()).cloned().collect()
+        self.virtual_times
+            .keys()
+            .chain(self.outstanding.keys())
+            .cloned()
+            .collect()
     }
 
     /// Service that this pool has given a customer.
@@ -101,7 +108,10 @@
     /// Service given in proportion to the share.
     #[must_use]
     pub fn virtual_time(&self, customer: &CustomerName) -> f64 {
-        self.virtual_times.get(customer).copied().unwrap_or_default()
+        self.virtual_times
+            .get(customer)
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Service given and charged in advance, over the fleet, in proportion to the share: the
@@ -143,7 +153,9 @@
             added.push((customer, account.served.saturating_sub(*seen)));
             *seen = (*seen).max(account.served);
             if account.outstanding.0 > 0 {
-                remote.outstanding.insert(customer.clone(), account.outstanding);
+                remote
+                    .outstanding
+                    .insert(customer.clone(), account.outstanding);
             }
         }
         for (customer, amount) in added {
@@ -155,18 +167,32 @@
     pub fn adopt(&mut self, domain: &DomainName, run: RunId, accounts: &[Account]) {
         let mut remote = Remote::default();
         for account in accounts {
-            let time = self.virtual_times.entry(account.customer.clone()).or_default();
+            let time = self
+                .virtual_times
+                .entry(account.customer.clone())
+                .or_default();
             *time = time.max(account.virtual_time);
-            remote.served.insert(account.customer.clone(), account.served);
-            remote.outstanding.insert(account.customer.clone(), account.outstanding);
+            remote
+                .served
+                .insert(account.customer.clone(), account.served);
+            remote
+                .outstanding
+                .insert(account.customer.clone(), account.outstanding);
         }
-        self.remotes.entry(domain.clone()).or_default().insert(run, remote);
+        self.remotes
+            .entry(domain.clone())
+            .or_default()
+            .insert(run, remote);
     }
 
     /// Forgets what one life of another domain's scheduler has charged in advance, when it is
     /// not heard any more.
     pub fn drop_outstanding(&mut self, domain: &DomainName, run: RunId) {
-        if let Some(remote) = self.remotes.get_mut(domain).and_then(|runs| runs.get_mut(&run)) {
+        if let Some(remote) = self
+            .remotes
+            .get_mut(domain)
+            .and_then(|runs| runs.get_mut(&run))
+        {
             remote.outstanding.clear();
         }
     }
@@ -185,7 +211,11 @@
     }
 
     fn share(&self, customer: &CustomerName) -> f64 {
-        self.shares.get(customer).copied().unwrap_or(Share(1)).as_f64()
+        self.shares
+            .get(customer)
+            .copied()
+            .unwrap_or(Share(1))
+            .as_f64()
     }
 
     /// The least charge of the active customers, or the greatest virtual time when none is.
--- a/samphiresill-sched/src/limit.rs
+++ b/samphiresill-sched/src/limit.rs
@@ -58,7 +58,11 @@
     pub fn observe(&mut self, plan: &TargetPlan, observed: &Observed) {
         let between = f64::from(observed.between_tokens_us);
         if between > 0.0 {
-            let old = if self.between_tokens_us > 0.0 { self.between_tokens_us } else { between };
+            let old = if self.between_tokens_us > 0.0 {
+                self.between_tokens_us
+            } else {
+                between
+            };
             self.between_tokens_us = old + (between - old) * NEWEST_WEIGHT;
         }
         if plan.between_tokens_ms == 0 || observed.failed {
--- a/samphiresill-sched/src/link.rs
+++ b/samphiresill-sched/src/link.rs
@@ -136,7 +136,12 @@
     /// When the grant runs already: "a grant is used at most once".
     pub fn start(&mut self, request: RequestId, started: Started) {
         let grant = started.grant;
-        let running = Running { request, started, served: Tokens(0), told: Told::Never };
+        let running = Running {
+            request,
+            started,
+            served: Tokens(0),
+            told: Told::Never,
+        };
         let before = self.running.insert(grant, running);
         assert!(before.is_none(), "a grant is used at most once: {grant}");
     }
@@ -151,7 +156,11 @@
     /// Ends a running request and gives its slot back; nothing when it does not run here.
     pub fn release(&mut self, grant: GrantId, observed: Observed) -> Option<Running> {
         let running = self.running.remove(&grant)?;
-        let released = Released { grant, served: running.served, observed };
+        let released = Released {
+            grant,
+            served: running.served,
+            observed,
+        };
         self.released.insert(grant, (released, Told::Never));
         if self.released.len() > MAX_UNACKNOWLEDGED {
             self.released.pop_first();
@@ -176,8 +185,10 @@
             self.forget_confirmations();
             return;
         }
-        self.released.retain(|_, (_, told)| !told.is_covered_by(ack.sent_at));
-        self.declined.retain(|_, told| !told.is_covered_by(ack.sent_at));
+        self.released
+            .retain(|_, (_, told)| !told.is_covered_by(ack.sent_at));
+        self.declined
+            .retain(|_, told| !told.is_covered_by(ack.sent_at));
         for running in self.running.values_mut() {
             if running.told.is_covered_by(ack.sent_at) {
                 running.told = Told::Confirmed;
@@ -208,7 +219,11 @@
         }
         let full = self.last_full.map_or(Duration::ZERO, |at| at + interval);
         let urgent = self.last_report.map_or(Duration::ZERO, |at| at + min_gap);
-        Some(if self.is_urgent { full.min(urgent) } else { full })
+        Some(if self.is_urgent {
+            full.min(urgent)
+        } else {
+            full
+        })
     }
 
     /// Whether the next report is a full one.
@@ -235,7 +250,8 @@
             self.told_waiting.clear();
         }
         for entry in &demand {
-            self.told_waiting.insert(entry.customer.clone(), entry.waiting);
+            self.told_waiting
+                .insert(entry.customer.clone(), entry.waiting);
         }
         self.told_waiting.retain(|_, waiting| *waiting > 0);
         self.is_urgent = false;
@@ -247,7 +263,10 @@
                 started.push(running.started.clone());
             }
             if is_full {
-                progress.push(Progress { grant: running.started.grant, served: running.served });
+                progress.push(Progress {
+                    grant: running.started.grant,
+                    served: running.served,
+                });
             }
         }
         Report {
@@ -258,8 +277,16 @@
             demand,
             started,
             progress,
-            released: self.released.values_mut().filter_map(|(r, t)| t.tell(now).then_some(*r)).collect(),
-            declined: self.declined.iter_mut().filter_map(|(g, t)| t.tell(now).then_some(*g)).collect(),
+            released: self
+                .released
+                .values_mut()
+                .filter_map(|(r, t)| t.tell(now).then_some(*r))
+                .collect(),
+            declined: self
+                .declined
+                .iter_mut()
+                .filter_map(|(g, t)| t.tell(now).then_some(*g))
+                .collect(),
             seen: self.seen,
         }
     }
--- a/samphiresill-sched/src/message.rs
+++ b/samphiresill-sched/src/message.rs
@@ -21,16 +21,12 @@
 }
 
 /// `RunId` identifies one life of a scheduler; a restarted or moved one has another.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RunId(pub u64);
 
 /// `GrantId` identifies one grant for ever.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[display("{run}:{seq}")]
 pub struct GrantId {
     /// The life of the scheduler that granted.
--- a/samphiresill-sched/src/node.rs
+++ b/samphiresill-sched/src/node.rs
@@ -128,7 +128,11 @@
         let reports = self.links.values();
         let due = reports.filter_map(|l| l.due(self.opts.report_interval, self.opts.min_gap));
         let urgent = self.schedulers.values().any(Scheduler::is_urgent);
-        let step = if urgent { self.opts.min_gap } else { self.opts.report_interval / 4 };
+        let step = if urgent {
+            self.opts.min_gap
+        } else {
+            self.opts.report_interval / 4
+        };
         due.min().map_or(now + step, |at| at.clamp(now, now + step))
     }
 
@@ -164,9 +168,20 @@
             return actions.push(Action::Refuse(request, Refusal::NoTarget));
         }
         let (customer, name) = (work.customer.clone(), work.work.clone());
-        let max_waiting = self.topology.max_waiting.get(&customer).copied().unwrap_or(0);
-        let estimate = self.estimator.estimate(&customer, &name, work.urgency, work.limit);
-        let waiting = Waiting { work, estimate, since: now };
+        let max_waiting = self
+            .topology
+            .max_waiting
+            .get(&customer)
+            .copied()
+            .unwrap_or(0);
+        let estimate = self
+            .estimator
+            .estimate(&customer, &name, work.urgency, work.limit);
+        let waiting = Waiting {
+            work,
+            estimate,
+            since: now,
+        };
         match self.queues.push(waiting, max_waiting) {
             Ok(()) => self.note_demand(&name, &customer),
             Err(refusal) => actions.push(Action::Refuse(request, refusal)),
@@ -180,19 +195,29 @@
     }
 
     fn progress(&mut self, request: &RequestId, served: Tokens) {
-        let Some(running) = self.running.get(request) else { return };
+        let Some(running) = self.running.get(request) else {
+            return;
+        };
         if let Some(link) = self.links.get_mut(&running.pool) {
             link.progress(running.grant, served);
         }
     }
 
     fn finish(&mut self, request: &RequestId, observed: Observed) {
-        let Some(running) = self.running.remove(request) else { return };
-        let link = self.links.get_mut(&running.pool).expect("a running request has a link");
-        let Some(ended) = link.release(running.grant, observed) else { return };
+        let Some(running) = self.running.remove(request) else {
+            return;
+        };
+        let link = self
+            .links
+            .get_mut(&running.pool)
+            .expect("a running request has a link");
+        let Some(ended) = link.release(running.grant, observed) else {
+            return;
+        };
         if !observed.failed {
             let work = running.work;
-            self.estimator.learn(&work.customer, &work.work, work.urgency, ended.served);
+            self.estimator
+                .learn(&work.customer, &work.work, work.urgency, ended.served);
         }
     }
 
@@ -212,7 +237,12 @@
             }
             Message::Report(report) => {
                 let pool = report.pool.clone();
-                self.with_scheduler(now, &pool, |s| s.receive_report(now, from, &report), actions);
+                self.with_scheduler(
+                    now,
+                    &pool,
+                    |s| s.receive_report(now, from, &report),
+                    actions,
+                );
             }
             Message::Offer { to, delivery } => {
                 self.with_scheduler(now, &to, |s| s.receive_offer(now, delivery), actions);
@@ -235,14 +265,19 @@
             return;
         }
         let is_alive = now.saturating_sub(delivery.basis) <= self.opts.grant_life;
-        let waiting =
-            if is_alive { self.queues.pop(&grant.pool.work, &grant.customer) } else { None };
+        let waiting = if is_alive {
+            self.queues.pop(&grant.pool.work, &grant.customer)
+        } else {
+            None
+        };
         let scheduler = self.topology.scheduler_of(&grant.pool).cloned();
         let link = link_of(&mut self.links, &grant.pool);
         if link.scheduler().is_none() {
             link.set_scheduler(scheduler.or(Some(grant.scheduler)));
         }
-        let Some(waiting) = waiting else { return link.decline(grant.id) };
+        let Some(waiting) = waiting else {
+            return link.decline(grant.id);
+        };
         let work = waiting.work;
         let started = Started {
             grant: grant.id,
@@ -257,22 +292,22 @@
             grant: grant.id,
             target: grant.target,
         });
-        let running = RunningRequest { pool: grant.pool, grant: grant.id, work };
+        let running = RunningRequest {
+            pool: grant.pool,
+            grant: grant.id,
+            work,
+        };
         self.running.insert(running.work.request.clone(), running);
     }
 
-    fn set_topology(
-        &mut self,
-        now: Duration,
-        topology: Arc<Topology>,
-        actions: &mut Vec<Action>,
-    ) {
+    fn set_topology(&mut self, now: Duration, topology: Arc<Topology>, actions: &mut Vec<Action>) {
         self.topology = topology;
         for (pool, link) in &mut self.links {
             link.set_scheduler(self.topology.scheduler_of(pool).cloned());
         }
         let (topology, vm) = (&self.topology, &self.vm);
-        self.schedulers.retain(|pool, _| topology.scheduler_of(pool) == Some(vm));
+        self.schedulers
+            .retain(|pool, _| topology.scheduler_of(pool) == Some(vm));
         for scheduler in self.schedulers.values_mut() {
             scheduler.set_topology(Arc::clone(&self.topology));
         }
@@ -287,7 +322,8 @@
             }
         }
         let shares = &self.topology.shares;
-        self.estimator.retain(|customer| shares.contains_key(customer));
+        self.estimator
+            .retain(|customer| shares.contains_key(customer));
     }
 
     fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -316,7 +352,10 @@
 
     /// The link to the pool of this node's own domain, whose scheduler is told what waits.
     fn home_link(&mut self, work: &WorkName) -> &mut Link {
-        let pool = PoolKey { domain: self.domain.clone(), work: work.clone() };
+        let pool = PoolKey {
+            domain: self.domain.clone(),
+            work: work.clone(),
+        };
         let scheduler = self.topology.scheduler_of(&pool).cloned();
         let link = link_of(&mut self.links, &pool);
         link.set_scheduler(scheduler);
@@ -327,22 +366,30 @@
     fn flush(&mut self, now: Duration, actions: &mut Vec<Action>) {
         loop {
             self.send_reports(now, actions);
-            let Some(message) = self.inbox.pop_front() else { break };
+            let Some(message) = self.inbox.pop_front() else {
+                break;
+            };
             let vm = self.vm.clone();
             self.receive(now, &vm, message, actions);
         }
         let domain = &self.domain;
-        self.links.retain(|pool, link| pool.domain == *domain || !link.is_idle());
+        self.links
+            .retain(|pool, link| pool.domain == *domain || !link.is_idle());
     }
 
     fn send_reports(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let interval = self.opts.report_interval;
         let mut reports = Vec::new();
         for (pool, link) in &mut self.links {
-            if link.due(interval, self.opts.min_gap).is_none_or(|at| at > now) {
+            if link
+                .due(interval, self.opts.min_gap)
+                .is_none_or(|at| at > now)
+            {
                 continue;
             }
-            let Some(scheduler) = link.scheduler().cloned() else { continue };
+            let Some(scheduler) = link.scheduler().cloned() else {
+                continue;
+            };
             let is_home = pool.domain == self.domain;
             let is_full = link.is_full_due(now, interval);
             let changed = link.take_changed();
@@ -352,7 +399,10 @@
                 (true, true) => self.queues.demands(&pool.work, now),
                 (true, false) => changed.iter().map(one).collect(),
             };
-            reports.push((scheduler, link.report(now, self.incarnation, is_full, demand)));
+            reports.push((
+                scheduler,
+                link.report(now, self.incarnation, is_full, demand),
+            ));
         }
         for (scheduler, report) in reports {
             self.send(scheduler, Message::Report(report), actions);
@@ -379,7 +429,9 @@
             return;
         }
         self.start_scheduler(now, pool);
-        let Some(scheduler) = self.schedulers.get_mut(pool) else { return };
+        let Some(scheduler) = self.schedulers.get_mut(pool) else {
+            return;
+        };
         for outgoing in act(scheduler) {
             match outgoing {
                 Outgoing::Router(vm, message) => self.send(vm, message, actions),
@@ -412,5 +464,7 @@
 }
 
 fn link_of<'a>(links: &'a mut BTreeMap<PoolKey, Link>, pool: &PoolKey) -> &'a mut Link {
-    links.entry(pool.clone()).or_insert_with(|| Link::new(pool.clone()))
+    links
+        .entry(pool.clone())
+        .or_insert_with(|| Link::new(pool.clone()))
 }
--- a/samphiresill-sched/src/queue.rs
+++ b/samphiresill-sched/src/queue.rs
@@ -60,7 +60,11 @@
     }
 
     fn next(&self, quick_in_a_row: u32) -> Option<&Waiting> {
-        if self.takes_patient(quick_in_a_row) { self.patient.front() } else { self.quick.front() }
+        if self.takes_patient(quick_in_a_row) {
+            self.patient.front()
+        } else {
+            self.quick.front()
+        }
     }
 
     fn pop(&mut self, quick_in_a_row: u32) -> Option<Waiting> {
@@ -86,7 +90,11 @@
     /// Makes empty queues that prefer quick requests up to `quick_in_a_row` times.
     #[must_use]
     pub fn new(quick_in_a_row: u32) -> Self {
-        Self { queues: BTreeMap::new(), waiting: BTreeSet::new(), quick_in_a_row }
+        Self {
+            queues: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            quick_in_a_row,
+        }
     }
 
     /// Adds a request.
@@ -126,7 +134,11 @@
         let queue = self.queues.get_mut(work)?.get_mut(customer)?;
         let taken = queue.pop(quick_in_a_row)?;
         let was_waiting = self.waiting.remove(&taken.work.request);
-        assert!(was_waiting, "a request leaves its queue once: {}", taken.work.request);
+        assert!(
+            was_waiting,
+            "a request leaves its queue once: {}",
+            taken.work.request
+        );
         Some(taken)
     }
 
@@ -152,7 +164,10 @@
     /// The works that requests wait for.
     #[must_use]
     pub fn works(&self) -> Vec<WorkName> {
-        let waiting = self.queues.iter().filter(|(_, q)| q.values().any(|c| c.len() > 0));
+        let waiting = self
+            .queues
+            .iter()
+            .filter(|(_, q)| q.values().any(|c| c.len() > 0));
         waiting.map(|(work, _)| work.clone()).collect()
     }
 
@@ -181,7 +196,9 @@
     pub fn demands(&self, work: &WorkName, now: Duration) -> Vec<Demand> {
         let customers = self.queues.get(work).into_iter().flatten();
         let waiting = customers.filter(|(_, q)| q.len() > 0);
-        waiting.map(|(customer, _)| self.demand(work, customer, now)).collect()
+        waiting
+            .map(|(customer, _)| self.demand(work, customer, now))
+            .collect()
     }
 
     /// Requests that wait.
--- a/samphiresill-sched/src/scheduler/demand.rs
+++ b/samphiresill-sched/src/scheduler/demand.rs
@@ -70,7 +70,11 @@
 
     /// Forgets grants that were lost on the way.
     pub fn forget_lost(&mut self, now: Duration, life: Duration) {
-        while self.on_the_way.front().is_some_and(|g| now > g.sent_at + life) {
+        while self
+            .on_the_way
+            .front()
+            .is_some_and(|g| now > g.sent_at + life)
+        {
             self.on_the_way.pop_front();
         }
     }
@@ -78,8 +82,14 @@
     /// Requests of a customer that wait and have no grant on the way.
     #[must_use]
     pub fn unmet(&self, customer: &CustomerName) -> u32 {
-        let Some(wish) = self.wishes.get(customer) else { return 0 };
-        let coming = self.on_the_way.iter().filter(|g| g.customer == *customer).count();
+        let Some(wish) = self.wishes.get(customer) else {
+            return 0;
+        };
+        let coming = self
+            .on_the_way
+            .iter()
+            .filter(|g| g.customer == *customer)
+            .count();
         wish.waiting.saturating_sub(coming as u32)
     }
 
@@ -99,7 +109,11 @@
     pub fn send(&mut self, now: Duration, customer: &CustomerName) -> u64 {
         self.next_order += 1;
         let order = self.next_order;
-        self.on_the_way.push_back(OnTheWay { order, customer: customer.clone(), sent_at: now });
+        self.on_the_way.push_back(OnTheWay {
+            order,
+            customer: customer.clone(),
+            sent_at: now,
+        });
         order
     }
 }
--- a/samphiresill-sched/src/scheduler/mod.rs
+++ b/samphiresill-sched/src/scheduler/mod.rs
@@ -167,19 +167,31 @@
         let empty = BTreeMap::new();
         let plans = topology.pools.get(&self.pool).unwrap_or(&empty);
         for (name, plan) in plans {
-            let slots = self.targets.entry(name.clone()).or_insert_with(|| Slots::new(plan.clone()));
+            let slots = self
+                .targets
+                .entry(name.clone())
+                .or_insert_with(|| Slots::new(plan.clone()));
             slots.set_plan(plan.clone());
         }
         // A target that is gone keeps its slots until the last request there has ended.
-        let gone = self.targets.iter_mut().filter(|(name, _)| !plans.contains_key(*name));
+        let gone = self
+            .targets
+            .iter_mut()
+            .filter(|(name, _)| !plans.contains_key(*name));
         gone.for_each(|(_, slots)| slots.drain());
-        self.targets.retain(|name, slots| plans.contains_key(name) || slots.held() > 0);
+        self.targets
+            .retain(|name, slots| plans.contains_key(name) || slots.held() > 0);
         self.ledger.set_shares(&topology.shares);
         self.topology = topology;
     }
 
     /// Takes in a router's report.
-    pub fn receive_report(&mut self, now: Duration, from: &VmName, report: &Report) -> Vec<Outgoing> {
+    pub fn receive_report(
+        &mut self,
+        now: Duration,
+        from: &VmName,
+        report: &Report,
+    ) -> Vec<Outgoing> {
         if !self.is_newer(from, report) {
             return Vec::new();
         }
@@ -225,11 +237,18 @@
     pub fn receive_summary(&mut self, now: Duration, summary: &Summary) -> Vec<Outgoing> {
         let domain = &summary.pool.domain;
         let run = (domain.clone(), summary.run);
-        if self.heard_runs.get(&run).is_some_and(|(sent_at, _)| *sent_at >= summary.sent_at) {
+        if self
+            .heard_runs
+            .get(&run)
+            .is_some_and(|(sent_at, _)| *sent_at >= summary.sent_at)
+        {
             return Vec::new();
         }
         self.heard_runs.insert(run, (summary.sent_at, now));
-        let silence = self.peers.get(domain).map(|p| now.saturating_sub(p.heard_at));
+        let silence = self
+            .peers
+            .get(domain)
+            .map(|p| now.saturating_sub(p.heard_at));
         let is_rejoin = silence.is_none_or(|s| s > self.opts.rejoin_silence);
         self.update_peer(now, summary);
         let is_adoptable = now < self.listen_until && !self.has_adopted;
@@ -258,7 +277,11 @@
             peer.seen = Some((delivery.run, highest));
         }
         let is_alive = now.saturating_sub(delivery.basis) <= self.opts.grant_life;
-        let router = if is_alive { self.router_for(&grant.customer) } else { None };
+        let router = if is_alive {
+            self.router_for(&grant.customer)
+        } else {
+            None
+        };
         match router {
             Some(vm) => {
                 let outgoing = self.deliver(now, &vm, grant);
@@ -268,7 +291,10 @@
             }
             None => {
                 let pool = grant.pool.clone();
-                let message = Message::Return { pool: pool.clone(), grant: grant.id };
+                let message = Message::Return {
+                    pool: pool.clone(),
+                    grant: grant.id,
+                };
                 vec![Outgoing::Pool(pool, message)]
             }
         }
@@ -276,7 +302,9 @@
 
     /// Takes back a grant that another domain had no use for.
     pub fn receive_return(&mut self, now: Duration, grant: GrantId) -> Vec<Outgoing> {
-        let Some(held) = self.held.get(&grant) else { return Vec::new() };
+        let Some(held) = self.held.get(&grant) else {
+            return Vec::new();
+        };
         if held.router.is_some() {
             return Vec::new();
         }
@@ -317,8 +345,10 @@
     }
 
     fn update_router(&mut self, now: Duration, from: &VmName, report: &Report) {
-        let restarted =
-            self.routers.get(from).is_some_and(|r| r.incarnation != report.incarnation);
+        let restarted = self
+            .routers
+            .get(from)
+            .is_some_and(|r| r.incarnation != report.incarnation);
         if restarted {
             self.settle_all_of(now, from);
         }
@@ -357,18 +387,25 @@
         if is_older {
             return;
         }
-        let peer = self.peers.entry(summary.pool.domain.clone()).or_insert_with(|| Peer {
-            run: summary.run,
-            sent_at: summary.sent_at,
-            heard_at: now,
-            receiver: Receiver::default(),
-            seen: None,
-        });
+        let peer = self
+            .peers
+            .entry(summary.pool.domain.clone())
+            .or_insert_with(|| Peer {
+                run: summary.run,
+                sent_at: summary.sent_at,
+                heard_at: now,
+                receiver: Receiver::default(),
+                seen: None,
+            });
         (peer.run, peer.sent_at, peer.heard_at) = (summary.run, summary.sent_at, now);
         peer.receiver.note_seen(self.run, summary.seen);
         let unmet = summary.accounts.iter().filter(|a| a.unmet > 0);
         let wishes = unmet.map(|a| {
-            let wish = Wish { waiting: a.unmet, estimate: a.estimate, since: now };
+            let wish = Wish {
+                waiting: a.unmet,
+                estimate: a.estimate,
+                since: now,
+            };
             (a.customer.clone(), wish)
         });
         peer.receiver.set_all(wishes.collect());
@@ -382,7 +419,9 @@
             return;
         }
         // A request that an earlier life of this scheduler granted, or whose lease has lapsed.
-        let Some(slots) = self.targets.get_mut(&started.target) else { return };
+        let Some(slots) = self.targets.get_mut(&started.target) else {
+            return;
+        };
         slots.adopt(started.grant);
         let lapsed = self.lapsed.remove(&started.grant);
         let held = lapsed.map(|held| Held {
@@ -412,7 +451,9 @@
             let customer = lapsed.customer.clone();
             return self.ledger.serve(&customer, added);
         }
-        let Some(held) = self.held.get_mut(&grant) else { return };
+        let Some(held) = self.held.get_mut(&grant) else {
+            return;
+        };
         let before = held.outstanding();
         let added = served.saturating_sub(held.served);
         held.served = held.served.max(served);
@@ -435,12 +476,7 @@
     }
 
     /// Frees the slot of a grant, and takes back what was charged in advance.
-    fn free(
-        &mut self,
-        now: Duration,
-        grant: GrantId,
-        observed: Option<&Observed>,
-    ) -> Option<Held> {
+    fn free(&mut self, now: Duration, grant: GrantId, observed: Option<&Observed>) -> Option<Held> {
         let held = self.held.remove(&grant)?;
         let outstanding = held.outstanding();
         if outstanding.0 > 0 {
@@ -453,7 +489,10 @@
     }
 
     fn settle_all_of(&mut self, now: Duration, router: &VmName) {
-        let of_router = self.held.iter().filter(|(_, h)| h.router.as_ref() == Some(router));
+        let of_router = self
+            .held
+            .iter()
+            .filter(|(_, h)| h.router.as_ref() == Some(router));
         let grants: Vec<GrantId> = of_router.map(|(id, _)| *id).collect();
         for grant in grants {
             self.settle(now, grant, None);
@@ -489,7 +528,10 @@
             }
         }
         let silence = self.opts.rejoin_silence;
-        let silent = self.heard_runs.iter().filter(|(_, (_, heard_at))| now > *heard_at + silence);
+        let silent = self
+            .heard_runs
+            .iter()
+            .filter(|(_, (_, heard_at))| now > *heard_at + silence);
         for (domain, run) in silent.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
             self.ledger.drop_outstanding(&domain, run);
             self.heard_runs.remove(&(domain, run));
@@ -511,14 +553,18 @@
     /// Grants free slots as long as there are any and someone has a use for them.
     fn grant_free_slots(&mut self, now: Duration) -> Vec<Outgoing> {
         let mut out = Vec::new();
-        let Some(mut target) = self.best_target(now) else { return out };
+        let Some(mut target) = self.best_target(now) else {
+            return out;
+        };
         let mut wanting = self.wanting();
         self.ledger.set_active(wanting.clone());
         while let Some(customer) = self.least_charged(&wanting) {
             match self.grant(now, &target, &customer) {
                 Some(outgoing) => {
                     out.push(outgoing);
-                    let Some(next) = self.best_target(now) else { break };
+                    let Some(next) = self.best_target(now) else {
+                        break;
+                    };
                     target = next;
                 }
                 None => drop(wanting.remove(&customer)),
@@ -529,7 +575,10 @@
 
     fn unmet_here(&self) -> BTreeSet<CustomerName> {
         let routers = self.routers.values();
-        routers.flat_map(|r| r.receiver.unmet_all()).map(|(c, _, _)| c.clone()).collect()
+        routers
+            .flat_map(|r| r.receiver.unmet_all())
+            .map(|(c, _, _)| c.clone())
+            .collect()
     }
 
     fn wanting(&self) -> BTreeSet<CustomerName> {
@@ -542,12 +591,15 @@
 
     fn least_charged(&self, wanting: &BTreeSet<CustomerName>) -> Option<CustomerName> {
         let charged = wanting.iter().map(|c| (self.ledger.charge(c), c));
-        charged.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1))).map(|(_, c)| c.clone())
+        charged
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)))
+            .map(|(_, c)| c.clone())
     }
 
     fn best_target(&self, now: Duration) -> Option<TargetName> {
         let free = self.targets.iter().filter(|(_, slots)| slots.free(now) > 0);
-        free.min_by(|a, b| a.1.cost().total_cmp(&b.1.cost())).map(|(name, _)| name.clone())
+        free.min_by(|a, b| a.1.cost().total_cmp(&b.1.cost()))
+            .map(|(name, _)| name.clone())
     }
 
     /// Grants a slot to a customer's request in this domain, or else in the domain with the most
@@ -559,14 +611,21 @@
         customer: &CustomerName,
     ) -> Option<Outgoing> {
         let router = self.router_for(customer);
-        let domain = if router.is_some() { None } else { Some(self.domain_for(customer)?) };
+        let domain = if router.is_some() {
+            None
+        } else {
+            Some(self.domain_for(customer)?)
+        };
         let receiver = match (&router, &domain) {
             (Some(vm), _) => &self.routers.get(vm)?.receiver,
             (None, domain) => &self.peers.get(domain.as_ref()?)?.receiver,
         };
         let estimate = Tokens(receiver.wish(customer)?.estimate.0.max(1));
         self.next_seq += 1;
-        let id = GrantId { run: self.run, seq: self.next_seq };
+        let id = GrantId {
+            run: self.run,
+            seq: self.next_seq,
+        };
         let grant = Grant {
             id,
             pool: self.pool.clone(),
@@ -595,35 +654,64 @@
     }
 
     fn deliver(&mut self, now: Duration, vm: &VmName, grant: Grant) -> Outgoing {
-        let router = self.routers.get_mut(vm).expect("a grant goes to a known router");
+        let router = self
+            .routers
+            .get_mut(vm)
+            .expect("a grant goes to a known router");
         let order = router.receiver.send(now, &grant.customer);
-        let delivery = Delivery { grant, basis: router.sent_at, run: self.run, order };
+        let delivery = Delivery {
+            grant,
+            basis: router.sent_at,
+            run: self.run,
+            order,
+        };
         Outgoing::Router(vm.clone(), Message::Grant(delivery))
     }
 
     fn offer(&mut self, now: Duration, domain: &DomainName, grant: Grant) -> Option<Outgoing> {
         let peer = self.peers.get_mut(domain)?;
         let order = peer.receiver.send(now, &grant.customer);
-        let delivery = Delivery { grant, basis: peer.sent_at, run: self.run, order };
-        let to = PoolKey { domain: domain.clone(), work: self.pool.work.clone() };
+        let delivery = Delivery {
+            grant,
+            basis: peer.sent_at,
+            run: self.run,
+            order,
+        };
+        let to = PoolKey {
+            domain: domain.clone(),
+            work: self.pool.work.clone(),
+        };
         Some(Outgoing::Pool(to.clone(), Message::Offer { to, delivery }))
     }
 
     /// The router at which a customer's request has waited longest.
     fn router_for(&self, customer: &CustomerName) -> Option<VmName> {
-        let with_unmet = self.routers.iter().filter(|(_, r)| r.receiver.unmet(customer) > 0);
+        let with_unmet = self
+            .routers
+            .iter()
+            .filter(|(_, r)| r.receiver.unmet(customer) > 0);
         let since = |r: &Router| r.receiver.wish(customer).map(|w| w.since);
-        with_unmet.min_by_key(|(_, r)| since(r)).map(|(vm, _)| vm.clone())
+        with_unmet
+            .min_by_key(|(_, r)| since(r))
+            .map(|(vm, _)| vm.clone())
     }
 
     /// The other domain with the most unmet requests of a customer.
     fn domain_for(&self, customer: &CustomerName) -> Option<DomainName> {
-        let unmet = self.peers.iter().map(|(d, p)| (p.receiver.unmet(customer), d));
-        unmet.filter(|(unmet, _)| *unmet > 0).max_by_key(|(unmet, _)| *unmet).map(|(_, d)| d.clone())
+        let unmet = self
+            .peers
+            .iter()
+            .map(|(d, p)| (p.receiver.unmet(customer), d));
+        unmet
+            .filter(|(unmet, _)| *unmet > 0)
+            .max_by_key(|(unmet, _)| *unmet)
+            .map(|(_, d)| d.clone())
     }
 
     fn is_summary_due(&self, now: Duration) -> bool {
-        let Some(last) = self.last_summary else { return true };
+        let Some(last) = self.last_summary else {
+            return true;
+        };
         let is_active = !self.held.is_empty() || !self.told_unmet.is_empty();
         (self.is_summary_urgent && now >= last + self.opts.summary_gap)
             || (is_active && now >= last + self.opts.summary_interval)
@@ -633,15 +721,21 @@
         self.last_summary = Some(now);
         self.is_summary_urgent = false;
         self.summaries_sent = self.summaries_sent.wrapping_add(1);
-        let is_full =
-            self.is_full_wanted || self.summaries_sent.is_multiple_of(FULL_SUMMARY_EVERY);
+        let is_full = self.is_full_wanted || self.summaries_sent.is_multiple_of(FULL_SUMMARY_EVERY);
         self.is_full_wanted = false;
         let accounts = self.accounts(is_full);
         let unmet = accounts.iter().filter(|a| a.unmet > 0);
         self.told_unmet = unmet.map(|a| a.customer.clone()).collect();
-        let others = self.topology.domains().into_iter().filter(|d| *d != self.pool.domain);
+        let others = self
+            .topology
+            .domains()
+            .into_iter()
+            .filter(|d| *d != self.pool.domain);
         let summary = |domain: DomainName| {
-            let to = PoolKey { domain, work: self.pool.work.clone() };
+            let to = PoolKey {
+                domain,
+                work: self.pool.work.clone(),
+            };
             let summary = Summary {
                 pool: self.pool.clone(),
                 run: self.run,
@@ -658,7 +752,11 @@
     /// The lines of a summary: customers with changed accounts or unmet requests, or all.
     fn accounts(&mut self, is_full: bool) -> Vec<Account> {
         let changed = self.ledger.take_changed();
-        let mut customers = if is_full { self.ledger.customers() } else { changed };
+        let mut customers = if is_full {
+            self.ledger.customers()
+        } else {
+            changed
+        };
         let mut wishes: BTreeMap<&CustomerName, (u32, Tokens)> = BTreeMap::new();
         for router in self.routers.values() {
             for (customer, unmet, wish) in router.receiver.unmet_all() {
--- a/samphiresill-sched/src/scheduler/slots.rs
+++ b/samphiresill-sched/src/scheduler/slots.rs
@@ -54,7 +54,11 @@
             return 0;
         }
         // A target that has failed is probed with one request before it gets more.
-        let limit = if self.is_suspect() { 1 } else { self.limit.current(&self.plan) };
+        let limit = if self.is_suspect() {
+            1
+        } else {
+            self.limit.current(&self.plan)
+        };
         limit.saturating_sub(self.held_by.len() as u32)
     }
 
@@ -76,7 +80,10 @@
     /// # Panics
     /// When no slot is free or the grant holds one: "no slot is granted twice".
     pub fn grant(&mut self, now: Duration, grant: GrantId) {
-        assert!(self.free(now) > 0, "no slot is granted twice: {grant} finds none free");
+        assert!(
+            self.free(now) > 0,
+            "no slot is granted twice: {grant} finds none free"
+        );
         let is_new = self.held_by.insert(grant);
         assert!(is_new, "no slot is granted twice: {grant} holds one");
         if self.free(now) == 0 {
--- a/samphiresill-sched/src/topology.rs
+++ b/samphiresill-sched/src/topology.rs
@@ -52,16 +52,30 @@
                     first_token_ms: model.map_or(0, |m| m.first_token_ms),
                     between_tokens_ms: model.map_or(0, |m| m.between_tokens_ms),
                 };
-                let key = PoolKey { domain: target.domain.clone(), work: work.clone() };
+                let key = PoolKey {
+                    domain: target.domain.clone(),
+                    work: work.clone(),
+                };
                 pools.entry(key).or_default().insert(name.clone(), plan);
             }
         }
         let customers = &document.customers;
         let mut topology = Self {
             pools,
-            works: document.models.keys().chain(document.services.keys()).cloned().collect(),
-            shares: customers.iter().map(|(n, c)| (n.clone(), c.share)).collect(),
-            max_waiting: customers.iter().map(|(n, c)| (n.clone(), c.max_waiting)).collect(),
+            works: document
+                .models
+                .keys()
+                .chain(document.services.keys())
+                .cloned()
+                .collect(),
+            shares: customers
+                .iter()
+                .map(|(n, c)| (n.clone(), c.share))
+                .collect(),
+            max_waiting: customers
+                .iter()
+                .map(|(n, c)| (n.clone(), c.max_waiting))
+                .collect(),
             members,
             schedulers: BTreeMap::new(),
         };
@@ -78,14 +92,19 @@
 
     /// The pools with targets that a VM schedules in this view.
     pub fn pools_of<'a>(&'a self, vm: &'a VmName) -> impl Iterator<Item = &'a PoolKey> {
-        self.pools.keys().filter(move |pool| self.scheduler_of(pool) == Some(vm))
+        self.pools
+            .keys()
+            .filter(move |pool| self.scheduler_of(pool) == Some(vm))
     }
 
     fn choose_schedulers(&self) -> BTreeMap<PoolKey, VmName> {
         let mut schedulers = BTreeMap::new();
         for domain in self.domains() {
             for work in &self.works {
-                let pool = PoolKey { domain: domain.clone(), work: work.clone() };
+                let pool = PoolKey {
+                    domain: domain.clone(),
+                    work: work.clone(),
+                };
                 if let Some(vm) = self.choose_scheduler(&pool) {
                     schedulers.insert(pool, vm);
                 }
@@ -95,7 +114,11 @@
     }
 
     fn choose_scheduler(&self, pool: &PoolKey) -> Option<VmName> {
-        let own = self.members.iter().filter(|(_, d)| **d == pool.domain).map(|(vm, _)| vm);
+        let own = self
+            .members
+            .iter()
+            .filter(|(_, d)| **d == pool.domain)
+            .map(|(vm, _)| vm);
         rendezvous::choose(pool, own).or_else(|| rendezvous::choose(pool, self.members.keys()))
     }
 
--- a/samphiresill-standins/src/bin/samphiresill-standin-platform.rs
+++ b/samphiresill-standins/src/bin/samphiresill-standin-platform.rs
@@ -6,7 +6,9 @@
     let mut spec = options::spec();
     spec.optopt("", "writes", "writes a second (400)", "N");
     spec.optopt("", "reads", "reads a second (2000)", "N");
-    let Some((address, given)) = options::parse(&spec)? else { return Ok(()) };
+    let Some((address, given)) = options::parse(&spec)? else {
+        return Ok(());
+    };
     let platform = platform::Platform::new(platform::Limits {
         writes: options::number(&given, "writes", 400)?,
         reads: options::number(&given, "reads", 2_000)?,
--- a/samphiresill-standins/src/engine.rs
+++ b/samphiresill-standins/src/engine.rs
@@ -92,7 +92,8 @@
         let path = req.url().to_owned();
         match (req.method().clone(), path.as_str()) {
             (Method::Post, "/control") => {
-                let faults: Faults = serde_json::from_str(&http::body(&mut req)).unwrap_or_default();
+                let faults: Faults =
+                    serde_json::from_str(&http::body(&mut req)).unwrap_or_default();
                 self.faults.set(faults);
                 http::respond(req, 200, &json!({}));
             }
@@ -166,7 +167,9 @@
 
     /// Sends the events of a sequence from `next` on, as far as they are produced.
     fn stream(&self, req: Request, id: &str, mut next: usize, generation: u64) {
-        let Ok(mut out) = http::start_stream(req) else { return };
+        let Ok(mut out) = http::start_stream(req) else {
+            return;
+        };
         self.count_reader(id, 1);
         while let Some((events, finished)) = self.wait_for(id, next) {
             if self.faults.is_silent(generation) {
@@ -203,13 +206,20 @@
                 let events = (next..sequence.produced).map(|i| event(&sequence.prompt, i));
                 return Some((events.collect(), finished));
             }
-            state = self.stepped.wait(state).unwrap_or_else(PoisonError::into_inner);
+            state = self
+                .stepped
+                .wait(state)
+                .unwrap_or_else(PoisonError::into_inner);
         }
     }
 
     fn cancel(&self, id: &str) {
         let mut state = self.lock();
-        if state.sequences.remove(id).is_some_and(|s| s.produced < s.length) {
+        if state
+            .sequences
+            .remove(id)
+            .is_some_and(|s| s.produced < s.length)
+        {
             state.cancelled += 1;
         }
         self.stepped.notify_all();
@@ -234,7 +244,11 @@
     fn load(&self) -> Value {
         let state = self.lock();
         let visible = Instant::now().checked_sub(self.opts.load_lag);
-        let seen = state.reported.iter().rev().find(|(at, _, _)| visible.is_some_and(|v| *at <= v));
+        let seen = state
+            .reported
+            .iter()
+            .rev()
+            .find(|(at, _, _)| visible.is_some_and(|v| *at <= v));
         let (running, waiting) = seen.map_or((0, 0), |(_, r, w)| (*r, *w));
         json!({
             "running": running, "waiting": waiting,
@@ -267,7 +281,9 @@
             state = next;
         }
         while state.running.len() < self.opts.max_batch {
-            let Some(id) = state.waiting.pop_front() else { break };
+            let Some(id) = state.waiting.pop_front() else {
+                break;
+            };
             if state.sequences.contains_key(&id) {
                 state.running.push(id);
             }
@@ -279,7 +295,9 @@
         let mut state = self.lock();
         let running = std::mem::take(&mut state.running);
         for id in running {
-            let Some(sequence) = state.sequences.get_mut(&id) else { continue };
+            let Some(sequence) = state.sequences.get_mut(&id) else {
+                continue;
+            };
             if sequence.readers == 0 && sequence.idle_since.elapsed() > ORPHAN_LIFE {
                 state.sequences.remove(&id);
                 state.cancelled += 1;
--- a/samphiresill-standins/src/fault.rs
+++ b/samphiresill-standins/src/fault.rs
@@ -59,7 +59,10 @@
     pub fn delay(&self) {
         let mut state = self.lock();
         while state.0.stall {
-            state = self.changed.wait(state).unwrap_or_else(PoisonError::into_inner);
+            state = self
+                .changed
+                .wait(state)
+                .unwrap_or_else(PoisonError::into_inner);
         }
         let slow = state.0.slow_ms;
         drop(state);
--- a/samphiresill-standins/src/http.rs
+++ b/samphiresill-standins/src/http.rs
@@ -42,7 +42,9 @@
     socket.set_reuse_address(true)?;
     // Accepted sockets inherit the option, so that small chunks leave at once.
     socket.set_tcp_nodelay(true)?;
-    socket.bind(&address.into()).with_context(|| format!("cannot bind {address}"))?;
+    socket
+        .bind(&address.into())
+        .with_context(|| format!("cannot bind {address}"))?;
     socket.listen(1024)?;
     let server = Server::from_listener(std::net::TcpListener::from(socket), None)
         .map_err(|e| anyhow::anyhow!("cannot listen on {address}: {e}"))?;
@@ -57,7 +59,10 @@
 /// The value of a request's header.
 #[must_use]
 pub fn header(req: &Request, name: &str) -> Option<String> {
-    let found = req.headers().iter().find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
+    let found = req
+        .headers()
+        .iter()
+        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
     found.map(|h| h.value.as_str().to_owned())
 }
 
--- a/samphiresill-standins/src/options.rs
+++ b/samphiresill-standins/src/options.rs
@@ -25,7 +25,9 @@
         print!("{}", spec.usage("A stand-in for tests."));
         return Ok(None);
     }
-    let address = given.opt_str("listen").context("--listen IP:PORT is missing")?;
+    let address = given
+        .opt_str("listen")
+        .context("--listen IP:PORT is missing")?;
     Ok(Some((address.parse().context("--listen")?, given)))
 }
 
@@ -37,5 +39,7 @@
 where
     T::Err: std::error::Error + Send + Sync + 'static,
 {
-    given.opt_get_default(name, default).with_context(|| format!("--{name}"))
+    given
+        .opt_get_default(name, default)
+        .with_context(|| format!("--{name}"))
 }
--- a/samphiresill-standins/src/platform.rs
+++ b/samphiresill-standins/src/platform.rs
@@ -107,7 +107,10 @@
             total_reads: 0,
             version: 0,
         };
-        Self { state: Mutex::new(state), limits }
+        Self {
+            state: Mutex::new(state),
+            limits,
+        }
     }
 
     /// Serves one HTTP request.
@@ -169,7 +172,9 @@
             (_, "/v1/scan", _) => parsed(&body, |scan: Scan| {
                 let start = scan.prefix.clone().max(scan.after.clone());
                 let rows = state.rows.range(start..).filter(|(k, _)| **k != scan.after);
-                let rows = rows.take_while(|(k, _)| k.starts_with(&scan.prefix)).take(scan.limit);
+                let rows = rows
+                    .take_while(|(k, _)| k.starts_with(&scan.prefix))
+                    .take(scan.limit);
                 (200, rows.map(|(k, row)| row_json(k, row)).collect())
             }),
             _ => (404, json!({"error": "no such path"})),
@@ -207,7 +212,13 @@
         for write in tx.writes {
             match write.value {
                 Some(value) => {
-                    self.rows.insert(write.key, Row { version: self.version, value });
+                    self.rows.insert(
+                        write.key,
+                        Row {
+                            version: self.version,
+                            value,
+                        },
+                    );
                 }
                 None => drop(self.rows.remove(&write.key)),
             }
--- a/samphiresill-standins/src/service.rs
+++ b/samphiresill-standins/src/service.rs
@@ -31,7 +31,8 @@
         let path = req.url().to_owned();
         let body = http::body(&mut req);
         if path == "/control" {
-            self.faults.set(serde_json::from_str::<Faults>(&body).unwrap_or_default());
+            self.faults
+                .set(serde_json::from_str::<Faults>(&body).unwrap_or_default());
             return http::respond(req, 200, &json!({}));
         }
         if path == "/runs" {
@@ -62,7 +63,10 @@
     }
 
     fn read(&self, path: &str) -> (u16, Value) {
-        let number = path.rsplit('/').next().and_then(|n| n.parse::<usize>().ok());
+        let number = path
+            .rsplit('/')
+            .next()
+            .and_then(|n| n.parse::<usize>().ok());
         let state = self.lock();
         match number.and_then(|n| state.orders.get(n.wrapping_sub(1))) {
             Some(order) => (200, json!({"path": path, "order": order})),
--- a/samphiresill-standins/src/text.rs
+++ b/samphiresill-standins/src/text.rs
@@ -20,7 +20,8 @@
 #[must_use]
 pub fn token(prompt: &str, index: usize) -> String {
     let mut hash = blake3::Hasher::new();
-    hash.update(prompt.as_bytes()).update(&(index as u64).to_le_bytes());
+    hash.update(prompt.as_bytes())
+        .update(&(index as u64).to_le_bytes());
     let bytes = hash.finalize();
     let mut token = String::from(" ");
     let word = WORDS[usize::from(bytes.as_bytes()[0] % 16)];
@@ -31,5 +32,7 @@
 /// The whole answer to `prompt` when at most `max_tokens` are asked for.
 #[must_use]
 pub fn answer(prompt: &str, max_tokens: usize) -> String {
-    (0..natural_length(prompt).min(max_tokens)).map(|i| token(prompt, i)).collect()
+    (0..natural_length(prompt).min(max_tokens))
+        .map(|i| token(prompt, i))
+        .collect()
 }
--- a/samphiresill/src/config/log.rs
+++ b/samphiresill/src/config/log.rs
@@ -48,7 +48,9 @@
 /// `Platform`, or `Damaged` when the row is not a number.
 pub fn head(table: &dyn Table) -> Result<(u64, u64), Error> {
     let rows = table.get(&[HEAD_KEY.to_owned()])?;
-    let Some(row) = rows.first() else { return Ok((0, 0)) };
+    let Some(row) = rows.first() else {
+        return Ok((0, 0));
+    };
     let revision = row.value.parse().map_err(|_| damaged(HEAD_KEY))?;
     Ok((revision, row.version))
 }
@@ -102,7 +104,11 @@
 }
 
 fn at_least(table: &dyn Table, base: Snapshot, revision: u64) -> Result<Snapshot, Error> {
-    if base.revision >= revision { Ok(base) } else { catch_up(table, &base) }
+    if base.revision >= revision {
+        Ok(base)
+    } else {
+        catch_up(table, &base)
+    }
 }
 
 fn revision_of(table: &dyn Table, change_id: &str) -> Result<Option<u64>, Error> {
@@ -117,13 +123,28 @@
     let value = serde_json::to_string(change).expect("a change is always serializable");
     Transaction {
         conditions: vec![
-            Condition { key: HEAD_KEY.into(), version: head_version },
-            Condition { key: id_key.clone(), version: 0 },
+            Condition {
+                key: HEAD_KEY.into(),
+                version: head_version,
+            },
+            Condition {
+                key: id_key.clone(),
+                version: 0,
+            },
         ],
         writes: vec![
-            Write { key: HEAD_KEY.into(), value: Some(next.revision.to_string()) },
-            Write { key: change_key(next.revision), value: Some(value) },
-            Write { key: id_key, value: Some(next.revision.to_string()) },
+            Write {
+                key: HEAD_KEY.into(),
+                value: Some(next.revision.to_string()),
+            },
+            Write {
+                key: change_key(next.revision),
+                value: Some(value),
+            },
+            Write {
+                key: id_key,
+                value: Some(next.revision.to_string()),
+            },
         ],
     }
 }
@@ -133,5 +154,7 @@
 }
 
 fn damaged(key: &str) -> Error {
-    Error::Damaged { key: key.to_owned() }
+    Error::Damaged {
+        key: key.to_owned(),
+    }
 }
--- a/samphiresill/src/config/mod.rs
+++ b/samphiresill/src/config/mod.rs
@@ -16,7 +16,9 @@
 
 impl Default for Config {
     fn default() -> Self {
-        Self { current: ArcSwap::from_pointee(Snapshot::default()) }
+        Self {
+            current: ArcSwap::from_pointee(Snapshot::default()),
+        }
     }
 }
 
@@ -33,7 +35,11 @@
         let mut advanced = false;
         self.current.rcu(|current| {
             advanced = next.revision > current.revision;
-            if advanced { Arc::clone(&next) } else { Arc::clone(current) }
+            if advanced {
+                Arc::clone(&next)
+            } else {
+                Arc::clone(current)
+            }
         });
         advanced
     }
--- a/samphiresill/src/dispatch/mod.rs
+++ b/samphiresill/src/dispatch/mod.rs
@@ -95,7 +95,12 @@
         let (reply, answer) = oneshot::channel();
         let request = work.request.clone();
         self.send(Command::Submit(work, reply));
-        Ticket { dispatcher: self.clone(), request, answer, is_decided: false }
+        Ticket {
+            dispatcher: self.clone(),
+            request,
+            answer,
+            is_decided: false,
+        }
     }
 
     /// Takes in a message of another router.
@@ -154,7 +159,14 @@
         let served = Arc::new(AtomicU64::new(0));
         let dispatcher = self.dispatcher.clone();
         dispatcher.send(Command::Running(self.request.clone(), Arc::clone(&served)));
-        Slot { dispatcher, request: self.request.clone(), grant, target, served, observed: None }
+        Slot {
+            dispatcher,
+            request: self.request.clone(),
+            grant,
+            target,
+            served,
+            observed: None,
+        }
     }
 }
 
@@ -168,7 +180,8 @@
         if let Ok(Decision::Granted { grant, target }) = self.answer.try_recv() {
             drop(self.slot(grant, target));
         } else {
-            self.dispatcher.send(Command::Event(Event::Withdraw(self.request.clone())));
+            self.dispatcher
+                .send(Command::Event(Event::Withdraw(self.request.clone())));
         }
     }
 }
@@ -212,8 +225,10 @@
         let served = Tokens(self.served.load(Ordering::Relaxed));
         let observed = self.observed.unwrap_or_default();
         let request = &self.request;
-        self.dispatcher.send(Command::Event(Event::Progress(request.clone(), served)));
-        self.dispatcher.send(Command::Event(Event::Finished(request.clone(), observed)));
+        self.dispatcher
+            .send(Command::Event(Event::Progress(request.clone(), served)));
+        self.dispatcher
+            .send(Command::Event(Event::Finished(request.clone(), observed)));
     }
 }
 
@@ -249,7 +264,10 @@
             if now >= tick_at {
                 self.note_progress();
                 self.handle(Event::Tick);
-                tick_at = self.node.next_tick(now).max(now + Duration::from_micros(500));
+                tick_at = self
+                    .node
+                    .next_tick(now)
+                    .max(now + Duration::from_micros(500));
             } else {
                 tick_at = tick_at.min(self.node.next_tick(now));
             }
@@ -280,7 +298,11 @@
         for action in self.node.handle(self.clock.monotonic(), event) {
             match action {
                 Action::Send(to, message) => self.post.send(&to, message),
-                Action::Start { request, grant, target } => {
+                Action::Start {
+                    request,
+                    grant,
+                    target,
+                } => {
                     self.answer(&request, Decision::Granted { grant, target });
                 }
                 Action::Refuse(request, refusal) => {
@@ -312,6 +334,8 @@
         let (waiting, running) = self.node.load();
         self.gauges.waiting.store(waiting, Ordering::Relaxed);
         self.gauges.running.store(running, Ordering::Relaxed);
-        self.gauges.pools.store(self.node.schedulers().len(), Ordering::Relaxed);
+        self.gauges
+            .pools
+            .store(self.node.schedulers().len(), Ordering::Relaxed);
     }
 }
--- a/samphiresill/src/follow.rs
+++ b/samphiresill/src/follow.rs
@@ -17,16 +17,18 @@
     poll: Duration,
     changed: impl Fn() + Send + 'static,
 ) -> anyhow::Result<()> {
-    std::thread::Builder::new().name("follow".into()).spawn(move || {
-        loop {
-            match look(&config, table.as_ref()) {
-                Ok(true) => changed(),
-                Ok(false) => {}
-                Err(e) => ::log::warn!(error:% = e; "configuration not read"),
+    std::thread::Builder::new()
+        .name("follow".into())
+        .spawn(move || {
+            loop {
+                match look(&config, table.as_ref()) {
+                    Ok(true) => changed(),
+                    Ok(false) => {}
+                    Err(e) => ::log::warn!(error:% = e; "configuration not read"),
+                }
+                std::thread::sleep(poll);
             }
-            std::thread::sleep(poll);
-        }
-    })?;
+        })?;
     Ok(())
 }
 
--- a/samphiresill/src/forward/engine.rs
+++ b/samphiresill/src/forward/engine.rs
@@ -137,6 +137,11 @@
     let index = event.id.parse().ok()?;
     let data: serde_json::Value = serde_json::from_str(&event.data).ok()?;
     let choice = &data["choices"][0];
-    let text = choice["delta"]["content"].as_str().or_else(|| choice["text"].as_str())?;
-    Some(Piece::Text { index, text: text.to_owned() })
+    let text = choice["delta"]["content"]
+        .as_str()
+        .or_else(|| choice["text"].as_str())?;
+    Some(Piece::Text {
+        index,
+        text: text.to_owned(),
+    })
 }
--- a/samphiresill/src/forward/model.rs
+++ b/samphiresill/src/forward/model.rs
@@ -11,9 +11,9 @@
 use samphiresill_sched::queue::Work;
 use tokio::sync::mpsc;
 
+use super::MAX_ATTEMPTS;
 use super::engine::{Engine, Piece};
 use super::sink::Sink;
-use super::MAX_ATTEMPTS;
 use crate::dispatch::Slot;
 use crate::front::openai::ModelCall;
 use crate::shared::Shared;
@@ -149,7 +149,11 @@
     /// Refuses for good; a request of which an attempt may have run is not told to be not run.
     async fn refuse(&mut self, refusal: Refusal) -> Outcome {
         let is_certain = self.attempts == 0 || refusal == Refusal::TargetUnavailable;
-        let refusal = if is_certain { refusal } else { Refusal::TargetFailed };
+        let refusal = if is_certain {
+            refusal
+        } else {
+            Refusal::TargetFailed
+        };
         self.sink.fail(refusal).await;
         refusal.outcome()
     }
@@ -164,7 +168,8 @@
         let engine = Engine::new(address, self.shared.runtime.clone());
         let request = self.work.request.clone();
         let planned = Planned::new(request, self.attempts, target.clone());
-        self.shared.record_attempt(planned.id(), &self.work, &target);
+        self.shared
+            .record_attempt(planned.id(), &self.work, &target);
         if !std::mem::replace(&mut self.is_prompt_charged, true) {
             slot.add_served(self.call.prompt_cost());
         }
@@ -212,8 +217,16 @@
                     return (SlotEnd::Failed(tell), progress);
                 }
             };
-            resumes = if self.assembly.next_index() > before { 1 } else { resumes + 1 };
-            let point = if resumes > MAX_RESUMES { FailurePoint::StreamLost } else { point };
+            resumes = if self.assembly.next_index() > before {
+                1
+            } else {
+                resumes + 1
+            };
+            let point = if resumes > MAX_RESUMES {
+                FailurePoint::StreamLost
+            } else {
+                point
+            };
             let verdict = self.verdict(point, slot.target());
             log::info!(
                 request:% = self.work.request, attempt:% = progress.id(),
@@ -223,7 +236,8 @@
             if verdict != Verdict::Resume {
                 return (SlotEnd::Failed(verdict), progress);
             }
-            self.shared.record_resume(progress.id(), &self.work, slot.target(), point);
+            self.shared
+                .record_resume(progress.id(), &self.work, slot.target(), point);
             let last = self.assembly.next_index().checked_sub(1);
             pieces = engine.resume(progress.id(), last);
         }
--- a/samphiresill/src/forward/service.rs
+++ b/samphiresill/src/forward/service.rs
@@ -69,7 +69,11 @@
             () = caller_gone.as_mut() => Err(Refusal::CallerGone),
         };
         let slot = slot.map_err(|refusal| {
-            if may_have_run { Refusal::TargetFailed } else { refusal }
+            if may_have_run {
+                Refusal::TargetFailed
+            } else {
+                refusal
+            }
         })?;
         attempts += 1;
         let target = slot.target().clone();
@@ -132,14 +136,19 @@
     let sent_at = shared.clock.monotonic();
     let sent = planned.send(sent_at);
     let call = call.clone();
-    let thread = shared.runtime.spawn_blocking(move || send(address, &id, &call));
+    let thread = shared
+        .runtime
+        .spawn_blocking(move || send(address, &id, &call));
     let result = thread.await.unwrap_or(Err(FailurePoint::Sending));
     let now = shared.clock.monotonic();
     let millis = now.saturating_sub(sent_at).as_millis() as u64;
     slot.add_served(Tokens(millis.max(1)));
     let is_failed = result.as_ref().map_or(true, |a| is_refusal(a.status));
-    let settled =
-        if is_failed { sent.settle(true) } else { sent.begin_answer(now).settle(false) };
+    let settled = if is_failed {
+        sent.settle(true)
+    } else {
+        sent.begin_answer(now).settle(false)
+    };
     slot.finish(super::observed(&settled));
     result
 }
@@ -161,13 +170,22 @@
     if let Some(content_type) = &call.content_type {
         req = req.header("content-type", content_type);
     }
-    let response = req.bytes(&call.body).send().map_err(|e| super::failure_point(&e))?;
+    let response = req
+        .bytes(&call.body)
+        .send()
+        .map_err(|e| super::failure_point(&e))?;
     let (status, headers, reader) = response.split();
     let header = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
-    let content_type = header("content-type").unwrap_or("application/octet-stream").to_owned();
+    let content_type = header("content-type")
+        .unwrap_or("application/octet-stream")
+        .to_owned();
     let expected = header("content-length").and_then(|v| v.parse::<usize>().ok());
     let body = read_whole(reader, expected)?;
-    Ok(ServiceAnswer { status: status.as_u16(), content_type, body })
+    Ok(ServiceAnswer {
+        status: status.as_u16(),
+        content_type,
+        body,
+    })
 }
 
 /// Reads an answer whole; one that breaks off or exceeds the bound is none.
@@ -178,7 +196,9 @@
     use std::io::Read;
     let mut body = Vec::new();
     let mut bounded = reader.take(MAX_ANSWER_BYTES as u64 + 1);
-    bounded.read_to_end(&mut body).map_err(|_| FailurePoint::DuringAnswer)?;
+    bounded
+        .read_to_end(&mut body)
+        .map_err(|_| FailurePoint::DuringAnswer)?;
     if body.len() > MAX_ANSWER_BYTES || expected.is_some_and(|n| n != body.len()) {
         return Err(FailurePoint::DuringAnswer);
     }
--- a/samphiresill/src/forward/sink.rs
+++ b/samphiresill/src/forward/sink.rs
@@ -39,7 +39,15 @@
     #[must_use]
     pub fn new(format: Format, write_timeout: Duration) -> (Self, oneshot::Receiver<Head>) {
         let (tx, rx) = oneshot::channel();
-        (Self { head: Some(tx), body: None, format, write_timeout }, rx)
+        (
+            Self {
+                head: Some(tx),
+                body: None,
+                format,
+                write_timeout,
+            },
+            rx,
+        )
     }
 
     /// Whether the caller wants pieces as they come.
@@ -80,7 +88,8 @@
             return sent;
         }
         let head = self.head.take().ok_or(Gone)?;
-        head.send(Head::Whole(self.format.whole(text, tokens))).map_err(|_| Gone)
+        head.send(Head::Whole(self.format.whole(text, tokens)))
+            .map_err(|_| Gone)
     }
 
     /// Ends with a refusal: as the whole answer, or as an explicit error event of a stream.
--- a/samphiresill/src/front/answer.rs
+++ b/samphiresill/src/front/answer.rs
@@ -25,7 +25,11 @@
 /// The error body of a refusal.
 #[must_use]
 pub fn error_body(refusal: Refusal, detail: &str) -> serde_json::Value {
-    let kind = if refusal.status() < 500 { "invalid_request_error" } else { "server_error" };
+    let kind = if refusal.status() < 500 {
+        "invalid_request_error"
+    } else {
+        "server_error"
+    };
     json!({"error": {
         "message": if detail.is_empty() { message(refusal) } else { detail },
         "type": kind,
@@ -38,7 +42,12 @@
 #[must_use]
 pub fn refuse(request: &RequestId, refusal: Refusal, detail: &str) -> Response<Body> {
     let body = error_body(refusal, detail).to_string();
-    let mut builder = head(request, refusal.status(), refusal.outcome(), "application/json");
+    let mut builder = head(
+        request,
+        refusal.status(),
+        refusal.outcome(),
+        "application/json",
+    );
     if let Some(wait) = refusal.retry_after() {
         builder = builder.header("retry-after", wait.as_secs());
     }
@@ -48,7 +57,10 @@
 /// A whole answer.
 #[must_use]
 pub fn whole(request: &RequestId, status: u16, content_type: &str, body: Bytes) -> Response<Body> {
-    finish(head(request, status, Outcome::Answered, content_type), full(body))
+    finish(
+        head(request, status, Outcome::Answered, content_type),
+        full(body),
+    )
 }
 
 /// An answer whose pieces follow as server-sent events.
--- a/samphiresill/src/front/claims.rs
+++ b/samphiresill/src/front/claims.rs
@@ -47,7 +47,12 @@
         attempt: String,
     ) -> Result<Admission, Refusal> {
         let since_ms = self.now_ms();
-        let claim = Claim { fingerprint, attempt, since_ms, state: State::Running };
+        let claim = Claim {
+            fingerprint,
+            attempt,
+            since_ms,
+            state: State::Running,
+        };
         let (mut claimant, mut step) = Claimant::new(claim);
         loop {
             let reply = match step {
@@ -63,7 +68,10 @@
 
     /// Records how the request of a claim ended; a later use of the key gets it.
     pub fn record(&self, row_key: &str, claim: &Claim, state: State) {
-        let ended = Claim { state, ..claim.clone() };
+        let ended = Claim {
+            state,
+            ..claim.clone()
+        };
         for _ in 0..RECORD_TRIES {
             let is_settled = match self.read(row_key) {
                 Reply::Row(Some((version, row))) => {
@@ -94,7 +102,10 @@
 
     fn write(&self, row_key: &str, version: u64, claim: &Claim) -> Reply {
         let value = serde_json::to_string(claim).expect("a claim is always serializable");
-        match self.table.transact(&transaction(row_key, version, Some(value))) {
+        match self
+            .table
+            .transact(&transaction(row_key, version, Some(value)))
+        {
             Ok(()) => Reply::Written,
             Err(table::Error::Conflict { .. }) => Reply::Conflict,
             Err(table::Error::Refused { .. } | table::Error::NoReply { .. }) => Reply::Lost,
@@ -102,8 +113,12 @@
     }
 
     fn read(&self, row_key: &str) -> Reply {
-        let Ok(rows) = self.table.get(&[row_key.to_owned()]) else { return Reply::Lost };
-        let Some(row) = rows.first() else { return Reply::Row(None) };
+        let Ok(rows) = self.table.get(&[row_key.to_owned()]) else {
+            return Reply::Lost;
+        };
+        let Some(row) = rows.first() else {
+            return Reply::Row(None);
+        };
         match serde_json::from_str(&row.value) {
             Ok(claim) => Reply::Row(Some((row.version, claim))),
             Err(_) => Reply::Lost,
@@ -111,7 +126,11 @@
     }
 
     fn now_ms(&self) -> u64 {
-        let since = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since = self
+            .clock
+            .wall()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 }
@@ -131,7 +150,13 @@
 
 fn transaction(row_key: &str, version: u64, value: Option<String>) -> Transaction {
     Transaction {
-        conditions: vec![Condition { key: row_key.to_owned(), version }],
-        writes: vec![Write { key: row_key.to_owned(), value }],
+        conditions: vec![Condition {
+            key: row_key.to_owned(),
+            version,
+        }],
+        writes: vec![Write {
+            key: row_key.to_owned(),
+            value,
+        }],
     }
 }
--- a/samphiresill/src/front/handler.rs
+++ b/samphiresill/src/front/handler.rs
@@ -37,7 +37,10 @@
 
 impl From<Refusal> for Denial {
     fn from(refusal: Refusal) -> Self {
-        Self { refusal, detail: String::new() }
+        Self {
+            refusal,
+            detail: String::new(),
+        }
     }
 }
 
@@ -73,7 +76,13 @@
     let guard = shared.begin_work().ok_or(Refusal::RouterUnavailable)?;
     let snapshot = shared.config.current();
     let customer = customer_of(&snapshot, req.headers())?;
-    let exchange = Exchange { shared, request: request.clone(), customer, snapshot, guard };
+    let exchange = Exchange {
+        shared,
+        request: request.clone(),
+        customer,
+        snapshot,
+        guard,
+    };
     let path = req.uri().path().to_owned();
     match (req.method(), path.as_str()) {
         (&Method::POST, "/v1/chat/completions") => exchange.complete(Endpoint::Chat, req).await,
@@ -88,17 +97,26 @@
 
 fn customer_of(snapshot: &Snapshot, headers: &HeaderMap) -> Result<CustomerName, Refusal> {
     let header = headers.get("authorization").and_then(|v| v.to_str().ok());
-    let key = header.and_then(|v| v.strip_prefix("Bearer ")).ok_or(Refusal::InvalidKey)?;
+    let key = header
+        .and_then(|v| v.strip_prefix("Bearer "))
+        .ok_or(Refusal::InvalidKey)?;
     let hash = KeyHash::of_key(key.trim());
-    snapshot.document.customer_of_key(&hash).cloned().ok_or(Refusal::InvalidKey)
+    snapshot
+        .document
+        .customer_of_key(&hash)
+        .cloned()
+        .ok_or(Refusal::InvalidKey)
 }
 
 fn service_of(snapshot: &Snapshot, path: &str) -> Option<(WorkName, Service)> {
     let is_below = |base: &str| {
-        path.strip_prefix(base).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+        path.strip_prefix(base)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
     };
     let services = snapshot.document.services.iter();
-    let found = services.filter(|(_, s)| is_below(&s.path)).max_by_key(|(_, s)| s.path.len());
+    let found = services
+        .filter(|(_, s)| is_below(&s.path))
+        .max_by_key(|(_, s)| s.path.len());
     found.map(|(name, service)| (name.clone(), service.clone()))
 }
 
@@ -115,15 +133,21 @@
         req: Request<Incoming>,
     ) -> Result<Response<Body>, Denial> {
         let body = read_body(&self.shared, req.into_body()).await?;
-        let call = ModelCall::parse(endpoint, &body)
-            .map_err(|detail| Denial { refusal: Refusal::InvalidRequest, detail })?;
+        let call = ModelCall::parse(endpoint, &body).map_err(|detail| Denial {
+            refusal: Refusal::InvalidRequest,
+            detail,
+        })?;
         let model = self.snapshot.document.models.get(&call.model);
         let model = model.ok_or_else(|| Denial {
             refusal: Refusal::ModelNotFound,
             detail: format!("The model '{}' does not exist.", call.model),
         })?;
         let is_quick = call.max_tokens <= u64::from(model.quick_tokens);
-        let urgency = if is_quick { Urgency::Quick } else { Urgency::Patient };
+        let urgency = if is_quick {
+            Urgency::Quick
+        } else {
+            Urgency::Patient
+        };
         let work = self.work(call.model.clone(), urgency, call.cost_limit());
         let format = call.format(&self.request, wall_seconds(&self.shared));
         let write_timeout = Duration::from_millis(self.shared.settings.limits.write_ms);
@@ -138,9 +162,12 @@
         });
         match head.await {
             Ok(Head::Stream(pieces)) => Ok(answer::stream(&self.request, pieces)),
-            Ok(Head::Whole(body)) => {
-                Ok(answer::whole(&self.request, 200, "application/json", body.into()))
-            }
+            Ok(Head::Whole(body)) => Ok(answer::whole(
+                &self.request,
+                200,
+                "application/json",
+                body.into(),
+            )),
             Ok(Head::Refused(refusal)) => Err(refusal.into()),
             Err(_) => Err(Refusal::TargetFailed.into()),
         }
@@ -154,21 +181,43 @@
     ) -> Result<Response<Body>, Denial> {
         let is_idempotent = service.idempotent_methods.contains(req.method().as_str());
         let header = |name: &str| header_of(req.headers(), name);
-        let key = if is_idempotent { None } else { header("idempotency-key") };
-        if key.as_ref().is_some_and(|k| k.is_empty() || k.len() > MAX_IDEMPOTENCY_KEY_BYTES) {
+        let key = if is_idempotent {
+            None
+        } else {
+            header("idempotency-key")
+        };
+        if key
+            .as_ref()
+            .is_some_and(|k| k.is_empty() || k.len() > MAX_IDEMPOTENCY_KEY_BYTES)
+        {
             let detail = "'Idempotency-Key' must have 1 to 256 bytes.".to_owned();
-            return Err(Denial { refusal: Refusal::InvalidRequest, detail });
+            return Err(Denial {
+                refusal: Refusal::InvalidRequest,
+                detail,
+            });
         }
         let mut call = ServiceCall {
             method: req.method().to_string(),
-            path: req.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned(),
+            path: req
+                .uri()
+                .path_and_query()
+                .map_or("/", |p| p.as_str())
+                .to_owned(),
             content_type: header("content-type"),
             body: Bytes::new(),
-            nature: if is_idempotent { Nature::Idempotent } else { Nature::Once },
+            nature: if is_idempotent {
+                Nature::Idempotent
+            } else {
+                Nature::Once
+            },
             answer_time: Duration::from_millis(u64::from(service.answer_ms)),
         };
         call.body = read_body(&self.shared, req.into_body()).await?;
-        let urgency = if is_idempotent { Urgency::Quick } else { Urgency::Patient };
+        let urgency = if is_idempotent {
+            Urgency::Quick
+        } else {
+            Urgency::Patient
+        };
         let work = self.work(name, urgency, Tokens(u64::from(service.answer_ms)));
         let (mut tx, rx) = oneshot::channel();
         let (request, customer) = (self.request.clone(), self.customer);
@@ -187,7 +236,12 @@
         });
         let result = rx.await.unwrap_or(Err(Refusal::TargetFailed));
         let answer = result?;
-        Ok(answer::whole(&self.request, answer.status, &answer.content_type, answer.body))
+        Ok(answer::whole(
+            &self.request,
+            answer.status,
+            &answer.content_type,
+            answer.body,
+        ))
     }
 
     fn work(&self, work: WorkName, urgency: Urgency, limit: Tokens) -> Work {
@@ -214,7 +268,9 @@
     caller: &mut oneshot::Sender<ServiceResult>,
 ) -> ServiceResult {
     let caller_gone = pin!(caller.closed());
-    let Some(key) = key else { return service::run(shared, &call, work, caller_gone).await };
+    let Some(key) = key else {
+        return service::run(shared, &call, work, caller_gone).await;
+    };
     let claims = Claims::new(Arc::clone(&shared.table), Arc::clone(&shared.clock));
     let row_key = claim::row_key(&work.customer, &key);
     let fingerprint = claim::fingerprint(&call.method, &call.path, &call.body);
@@ -228,7 +284,11 @@
         Admission::Replay(recorded) => {
             let body = recorded.body.into();
             let (status, content_type) = (recorded.status, recorded.content_type);
-            return Ok(ServiceAnswer { status, content_type, body });
+            return Ok(ServiceAnswer {
+                status,
+                content_type,
+                body,
+            });
         }
     };
     let result = service::run(shared, &call, work, caller_gone).await;
@@ -264,11 +324,18 @@
 }
 
 fn header_of(headers: &HeaderMap, name: &str) -> Option<String> {
-    headers.get(name).map(|v| String::from_utf8_lossy(v.as_bytes()).into_owned())
+    headers
+        .get(name)
+        .map(|v| String::from_utf8_lossy(v.as_bytes()).into_owned())
 }
 
 fn wall_seconds(shared: &Shared) -> u64 {
-    shared.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+    shared
+        .clock
+        .wall()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs()
 }
 
 fn end(
--- a/samphiresill/src/front/mod.rs
+++ b/samphiresill/src/front/mod.rs
@@ -29,8 +29,9 @@
 /// When the address cannot be bound.
 pub async fn start(shared: Arc<Shared>) -> anyhow::Result<()> {
     let address = shared.settings.listen.callers;
-    let listener =
-        TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))?;
+    let listener = TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen on {address}"))?;
     tokio::spawn(accept(shared, listener));
     Ok(())
 }
@@ -38,7 +39,9 @@
 async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     let connections = Arc::new(Semaphore::new(shared.settings.limits.connections));
     loop {
-        let Ok(permit) = Arc::clone(&connections).acquire_owned().await else { return };
+        let Ok(permit) = Arc::clone(&connections).acquire_owned().await else {
+            return;
+        };
         match listener.accept().await {
             Ok((stream, _)) => {
                 let shared = Arc::clone(&shared);
--- a/samphiresill/src/front/openai.rs
+++ b/samphiresill/src/front/openai.rs
@@ -51,10 +51,16 @@
     pub fn parse(endpoint: Endpoint, body: &[u8]) -> Result<Self, String> {
         let value: Value =
             serde_json::from_slice(body).map_err(|e| format!("The body is not JSON: {e}."))?;
-        let model = value["model"].as_str().ok_or("'model' must be a string.")?.into();
+        let model = value["model"]
+            .as_str()
+            .ok_or("'model' must be a string.")?
+            .into();
         let prompt_bytes = match endpoint {
             Endpoint::Chat => check_messages(&value["messages"])?,
-            Endpoint::Text => value["prompt"].as_str().ok_or("'prompt' must be a string.")?.len(),
+            Endpoint::Text => value["prompt"]
+                .as_str()
+                .ok_or("'prompt' must be a string.")?
+                .len(),
         };
         let is_stream = match &value["stream"] {
             Value::Null => false,
@@ -66,7 +72,15 @@
         let mut body = value;
         body["stream"] = Value::Bool(true);
         body["max_tokens"] = max_tokens.into();
-        Ok(Self { model, max_tokens, is_deterministic, endpoint, prompt_bytes, is_stream, body })
+        Ok(Self {
+            model,
+            max_tokens,
+            is_deterministic,
+            endpoint,
+            prompt_bytes,
+            is_stream,
+            body,
+        })
     }
 
     /// The path at the engine.
@@ -126,16 +140,26 @@
         bytes += match &message["content"] {
             Value::String(text) => text.len(),
             parts @ Value::Array(_) => parts.to_string().len(),
-            _ => return Err(format!("'messages[{index}].content' must be a string or a list.")),
+            _ => {
+                return Err(format!(
+                    "'messages[{index}].content' must be a string or a list."
+                ));
+            }
         };
     }
     Ok(bytes)
 }
 
 fn max_tokens(value: &Value) -> Result<u64, String> {
-    let given = ["max_completion_tokens", "max_tokens"].iter().find(|k| !value[**k].is_null());
-    let Some(key) = given else { return Ok(DEFAULT_MAX_TOKENS) };
-    let number = value[*key].as_u64().filter(|n| (1..=LARGEST_MAX_TOKENS).contains(n));
+    let given = ["max_completion_tokens", "max_tokens"]
+        .iter()
+        .find(|k| !value[**k].is_null());
+    let Some(key) = given else {
+        return Ok(DEFAULT_MAX_TOKENS);
+    };
+    let number = value[*key]
+        .as_u64()
+        .filter(|n| (1..=LARGEST_MAX_TOKENS).contains(n));
     number.ok_or_else(|| format!("'{key}' must be a whole number from 1 to {LARGEST_MAX_TOKENS}."))
 }
 
@@ -157,7 +181,9 @@
     #[must_use]
     pub fn piece(&self, text: &str) -> Bytes {
         let choice = match self.endpoint {
-            Endpoint::Chat => json!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
+            Endpoint::Chat => {
+                json!({"index": 0, "delta": {"content": text}, "finish_reason": null})
+            }
             Endpoint::Text => json!({"index": 0, "text": text, "finish_reason": null}),
         };
         self.event(choice)
@@ -171,7 +197,9 @@
             Endpoint::Chat => json!({"index": 0, "delta": {}, "finish_reason": reason}),
             Endpoint::Text => json!({"index": 0, "text": "", "finish_reason": reason}),
         };
-        [&self.event(choice)[..], b"data: [DONE]\n\n"].concat().into()
+        [&self.event(choice)[..], b"data: [DONE]\n\n"]
+            .concat()
+            .into()
     }
 
     /// The end of a stream that is not whole.
@@ -191,9 +219,10 @@
                 json!({"index": 0, "message": {"role": "assistant", "content": text},
                        "finish_reason": reason}),
             ),
-            Endpoint::Text => {
-                ("text_completion", json!({"index": 0, "text": text, "finish_reason": reason}))
-            }
+            Endpoint::Text => (
+                "text_completion",
+                json!({"index": 0, "text": text, "finish_reason": reason}),
+            ),
         };
         json!({
             "id": self.id, "object": object, "created": self.created_s, "model": self.model,
@@ -219,7 +248,11 @@
     }
 
     fn finish_reason(&self, tokens: usize) -> &'static str {
-        if tokens as u64 >= self.max_tokens { "length" } else { "stop" }
+        if tokens as u64 >= self.max_tokens {
+            "length"
+        } else {
+            "stop"
+        }
     }
 }
 
--- a/samphiresill/src/logging.rs
+++ b/samphiresill/src/logging.rs
@@ -8,5 +8,8 @@
 /// When logging was started before or the level is not known.
 pub fn start(level: &str) -> anyhow::Result<LoggerHandle> {
     let logger = Logger::try_with_str(format!("{level}, tarpc=warn, hyper=warn"))?;
-    Ok(logger.log_to_stderr().format(flexi_logger::json_format).start()?)
+    Ok(logger
+        .log_to_stderr()
+        .format(flexi_logger::json_format)
+        .start()?)
 }
--- a/samphiresill/src/metrics.rs
+++ b/samphiresill/src/metrics.rs
@@ -28,8 +28,9 @@
     /// When the exporter cannot be set up.
     pub fn new() -> anyhow::Result<Self> {
         let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("samphiresill");
         Ok(Self {
@@ -38,15 +39,19 @@
             resumes: meter.u64_counter("samphiresill_stream_resumes").build(),
             duration: meter.f64_histogram("samphiresill_request_seconds").build(),
             control_bytes: meter.u64_counter("samphiresill_control_sent_bytes").build(),
-            control_messages: meter.u64_counter("samphiresill_control_sent_messages").build(),
+            control_messages: meter
+                .u64_counter("samphiresill_control_sent_messages")
+                .build(),
             _provider: provider,
         })
     }
 
     /// Counts a request that has ended.
     pub fn ended(&self, customer: &CustomerName, outcome: Outcome, took: Duration) {
-        let labels =
-            [KeyValue::new("customer", customer.to_string()), KeyValue::new("outcome", outcome.to_string())];
+        let labels = [
+            KeyValue::new("customer", customer.to_string()),
+            KeyValue::new("outcome", outcome.to_string()),
+        ];
         self.requests.add(1, &labels);
         self.duration.record(took.as_secs_f64(), &[]);
     }
--- a/samphiresill/src/operations/mod.rs
+++ b/samphiresill/src/operations/mod.rs
@@ -14,11 +14,13 @@
 /// When the address cannot be bound.
 pub fn start(address: SocketAddr, shared: Arc<Shared>) -> anyhow::Result<()> {
     let server = Server::http(address).map_err(|e| anyhow!("cannot listen on {address}: {e}"))?;
-    std::thread::Builder::new().name("operations".into()).spawn(move || {
-        for req in server.incoming_requests() {
-            answer(&shared, req);
-        }
-    })?;
+    std::thread::Builder::new()
+        .name("operations".into())
+        .spawn(move || {
+            for req in server.incoming_requests() {
+                answer(&shared, req);
+            }
+        })?;
     Ok(())
 }
 
--- a/samphiresill/src/operators/mod.rs
+++ b/samphiresill/src/operators/mod.rs
@@ -44,12 +44,19 @@
 
 impl Interceptor for Authenticate {
     fn call(&mut self, req: Request<()>) -> Result<Request<()>, Status> {
-        let header = req.metadata().get("authorization").and_then(|v| v.to_str().ok());
-        let key = header.and_then(|v| v.strip_prefix("Bearer ")).map(KeyHash::of_key);
+        let header = req
+            .metadata()
+            .get("authorization")
+            .and_then(|v| v.to_str().ok());
+        let key = header
+            .and_then(|v| v.strip_prefix("Bearer "))
+            .map(KeyHash::of_key);
         let known = &self.0.settings.operator_key_hashes;
         match key {
             Some(hash) if known.contains(&hash) => Ok(req),
-            _ => Err(Status::unauthenticated("the operator's key is missing or not known")),
+            _ => Err(Status::unauthenticated(
+                "the operator's key is missing or not known",
+            )),
         }
     }
 }
@@ -68,10 +75,18 @@
         .map_err(|e| anyhow::anyhow!("cannot listen on {address}: {e}"))?
         .with_nodelay(Some(true));
     let authenticate = Authenticate(Arc::clone(&shared));
-    let service = OperatorsServer::new(Service { shared, view, links });
+    let service = OperatorsServer::new(Service {
+        shared,
+        view,
+        links,
+    });
     let service = InterceptedService::new(service, authenticate);
     tokio::spawn(async move {
-        if let Err(e) = Server::builder().add_service(service).serve_with_incoming(incoming).await {
+        if let Err(e) = Server::builder()
+            .add_service(service)
+            .serve_with_incoming(incoming)
+            .await
+        {
             log::error!(error:% = e; "operators' procedures ended");
         }
     });
@@ -86,26 +101,40 @@
         let base = self.shared.config.current();
         if req.dry_run {
             let next = self.append(base, change, true).await?;
-            let reply = ApplyReply { revision: next.revision, ..ApplyReply::default() };
+            let reply = ApplyReply {
+                revision: next.revision,
+                ..ApplyReply::default()
+            };
             return Ok(Response::new(reply));
         }
         let start = self.shared.clock.monotonic();
         let revision = self.append(base, change, false).await?.revision;
         let wait = Duration::from_millis(u64::from(req.wait_ms)).min(MAX_WAIT);
-        let lagging = if wait.is_zero() { Vec::new() } else { self.wait(revision, wait).await };
+        let lagging = if wait.is_zero() {
+            Vec::new()
+        } else {
+            self.wait(revision, wait).await
+        };
         let took = self.shared.clock.monotonic().saturating_sub(start);
         let has_waited = !wait.is_zero() && lagging.is_empty();
         Ok(Response::new(ApplyReply {
             revision,
             lagging: lagging.iter().map(ToString::to_string).collect(),
-            in_force_ms: if has_waited { took.as_millis() as u32 } else { 0 },
+            in_force_ms: if has_waited {
+                took.as_millis() as u32
+            } else {
+                0
+            },
         }))
     }
 
     async fn get(&self, _: Request<GetRequest>) -> Result<Response<GetReply>, Status> {
         let snapshot = self.shared.config.current();
         let objects = convert::objects_to_proto(&snapshot);
-        Ok(Response::new(GetReply { revision: snapshot.revision, objects }))
+        Ok(Response::new(GetReply {
+            revision: snapshot.revision,
+            objects,
+        }))
     }
 
     async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
@@ -182,15 +211,26 @@
 
 fn change_of(req: &ApplyRequest) -> Result<Change, Status> {
     if req.change_id.is_empty() || req.change_id.len() > MAX_CHANGE_ID_BYTES {
-        return Err(Status::invalid_argument("change_id: accepted: 1 to 128 bytes"));
+        return Err(Status::invalid_argument(
+            "change_id: accepted: 1 to 128 bytes",
+        ));
     }
     if req.operations.is_empty() {
-        return Err(Status::invalid_argument("operations: none; accepted: one or more"));
+        return Err(Status::invalid_argument(
+            "operations: none; accepted: one or more",
+        ));
     }
-    let operations = req.operations.iter().cloned().map(convert::operation_from_proto);
+    let operations = req
+        .operations
+        .iter()
+        .cloned()
+        .map(convert::operation_from_proto);
     let operations = operations.collect::<Result<_, _>>();
     let operations = operations.map_err(|e| Status::invalid_argument(e.to_string()))?;
-    Ok(Change { change_id: req.change_id.clone(), operations })
+    Ok(Change {
+        change_id: req.change_id.clone(),
+        operations,
+    })
 }
 
 fn status_of(error: &change_log::Error) -> Status {
--- a/samphiresill/src/peer/driver.rs
+++ b/samphiresill/src/peer/driver.rs
@@ -37,13 +37,22 @@
     /// The revision that each live peer was last known to have in force.
     #[must_use]
     pub fn revisions(&self) -> BTreeMap<VmName, u64> {
-        let known = self.revisions.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = self
+            .revisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let usable = self.usable.load();
-        usable.keys().map(|vm| (vm.clone(), known.get(vm).copied().unwrap_or(0))).collect()
+        usable
+            .keys()
+            .map(|vm| (vm.clone(), known.get(vm).copied().unwrap_or(0)))
+            .collect()
     }
 
     fn note_revision(&self, vm: &VmName, revision: u64) {
-        let mut known = self.revisions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = self
+            .revisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let entry = known.entry(vm.clone()).or_default();
         *entry = revision.max(*entry);
     }
@@ -62,14 +71,16 @@
 impl Driver {
     /// Prepares the task.
     #[must_use]
-    pub fn new(
-        shared: Arc<Shared>,
-        links: Links,
-        membership: Membership,
-        view: Arc<View>,
-    ) -> Self {
+    pub fn new(shared: Arc<Shared>, links: Links, membership: Membership, view: Arc<View>) -> Self {
         view.usable.store(Arc::new(membership.usable()));
-        Self { shared, links, membership, view, newer_since: None, was_stopping: false }
+        Self {
+            shared,
+            links,
+            membership,
+            view,
+            newer_since: None,
+            was_stopping: false,
+        }
     }
 
     /// Runs until the runtime ends.
@@ -156,7 +167,8 @@
         for output in out {
             match output {
                 Output::Send(member, message) => {
-                    self.links.send_at(&member.vm, member.address, Item::Membership(message));
+                    self.links
+                        .send_at(&member.vm, member.address, Item::Membership(message));
                 }
                 Output::Changed => {
                     let usable = Arc::new(self.membership.usable());
--- a/samphiresill/src/peer/links.rs
+++ b/samphiresill/src/peer/links.rs
@@ -64,8 +64,17 @@
         metrics: Arc<Metrics>,
         runtime: Handle,
     ) -> Self {
-        let sender = Arc::new(Sender { vm, key, config, metrics });
-        Self { sender, runtime, links: Arc::default() }
+        let sender = Arc::new(Sender {
+            vm,
+            key,
+            config,
+            metrics,
+        });
+        Self {
+            sender,
+            runtime,
+            links: Arc::default(),
+        }
     }
 
     /// Sends an item to a peer whose address is known; drops it when too many wait.
@@ -94,7 +103,8 @@
 
     fn connect(&self, to: VmName, address: SocketAddr) -> Link {
         let (tx, rx) = mpsc::channel(MAX_QUEUE);
-        self.runtime.spawn(run(Arc::clone(&self.sender), to, address, rx));
+        self.runtime
+            .spawn(run(Arc::clone(&self.sender), to, address, rx));
         Link { address, tx }
     }
 
@@ -109,12 +119,7 @@
     }
 }
 
-async fn run(
-    sender: Arc<Sender>,
-    to: VmName,
-    address: SocketAddr,
-    mut rx: mpsc::Receiver<Item>,
-) {
+async fn run(sender: Arc<Sender>, to: VmName, address: SocketAddr, mut rx: mpsc::Receiver<Item>) {
     let mut client = None;
     let mut items = Vec::new();
     while rx.recv_many(&mut items, MAX_ITEMS).await > 0 {
@@ -135,7 +140,9 @@
         };
         let count = content.items.len();
         let frame = sender.key.seal(&content);
-        sender.metrics.sent_control(count as u64, frame.len() as u64);
+        sender
+            .metrics
+            .sent_control(count as u64, frame.len() as u64);
         let delivery = connected.deliver(context::current(), frame);
         match tokio::time::timeout(DELIVERY_TIMEOUT, delivery).await {
             Ok(Ok(true)) => {}
@@ -151,6 +158,9 @@
 async fn connect(address: SocketAddr) -> Option<PeeringClient> {
     let mut connect = tcp::connect(address, Bincode::default);
     connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let transport = tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+    let transport = tokio::time::timeout(CONNECT_TIMEOUT, connect)
+        .await
+        .ok()?
+        .ok()?;
     Some(PeeringClient::new(client::Config::default(), transport).spawn())
 }
--- a/samphiresill/src/peer/server.rs
+++ b/samphiresill/src/peer/server.rs
@@ -56,7 +56,9 @@
     tokio::spawn(async move {
         while let Some(transport) = listener.next().await {
             let Ok(transport) = transport else { continue };
-            let Ok(permit) = Arc::clone(&connections).acquire_owned().await else { return };
+            let Ok(permit) = Arc::clone(&connections).acquire_owned().await else {
+                return;
+            };
             let channel = BaseChannel::with_defaults(transport);
             let requests = channel.execute(server.clone().serve());
             tokio::spawn(async move {
--- a/samphiresill/src/router.rs
+++ b/samphiresill/src/router.rs
@@ -54,7 +54,12 @@
         let table: Arc<dyn Table> = Arc::new(Platform::new(settings.platform.address, timeout));
         let config = Arc::new(Config::default());
         let opts = Options::with_interval(Duration::from_millis(settings.report_interval_ms));
-        let node = Node::new(settings.vm.clone(), settings.domain.clone(), incarnation, opts);
+        let node = Node::new(
+            settings.vm.clone(),
+            settings.domain.clone(),
+            incarnation,
+            opts,
+        );
         let metrics = Arc::new(Metrics::new()?);
         let key = FrameKey::new(&settings.peer_key);
         let links = Links::new(
@@ -125,7 +130,10 @@
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
         address: settings.listen.peers,
-        incarnation: Incarnation { start_ms: shared.incarnation, refutations: 0 },
+        incarnation: Incarnation {
+            start_ms: shared.incarnation,
+            refutations: 0,
+        },
         health: Health::Alive,
     };
     let seed = |peer: &Peer| Member {
--- a/samphiresill/src/settings/mod.rs
+++ b/samphiresill/src/settings/mod.rs
@@ -162,7 +162,11 @@
     pub fn parse(text: &str) -> Result<Self, Faults> {
         let malformed = |path: String, found: String| {
             let accepted = "what docs/SETTINGS.md describes".into();
-            Faults(vec![Fault { path, found, accepted }])
+            Faults(vec![Fault {
+                path,
+                found,
+                accepted,
+            }])
         };
         let value = jsonc_parser::parse_to_serde_value::<serde_json::Value>(
             text,
@@ -172,7 +176,11 @@
         let settings: Self = serde_path_to_error::deserialize(value)
             .map_err(|e| malformed(e.path().to_string(), e.inner().to_string()))?;
         let faults = settings.faults();
-        if faults.is_empty() { Ok(settings) } else { Err(Faults(faults)) }
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(Faults(faults))
+        }
     }
 
     /// Time that a request may wait for a slot.
@@ -184,20 +192,52 @@
     fn faults(&self) -> Vec<Fault> {
         let limits = &self.limits;
         let rules = [
-            ("vm", is_name(&self.vm), "1 to 64 letters, digits, '-', '_' or '.'"),
-            ("domain", is_name(&self.domain), "1 to 64 letters, digits, '-', '_' or '.'"),
-            ("peer_key", self.peer_key.len() >= 16, "at least 16 characters"),
+            (
+                "vm",
+                is_name(&self.vm),
+                "1 to 64 letters, digits, '-', '_' or '.'",
+            ),
+            (
+                "domain",
+                is_name(&self.domain),
+                "1 to 64 letters, digits, '-', '_' or '.'",
+            ),
+            (
+                "peer_key",
+                self.peer_key.len() >= 16,
+                "at least 16 characters",
+            ),
             (
                 "report_interval_ms",
                 (20..=10_000).contains(&self.report_interval_ms),
                 "20 to 10000",
             ),
-            ("log_level", is_level(&self.log_level), "error, warn, info, debug or trace"),
-            ("platform.timeout_ms", self.platform.timeout_ms > 0, "1 or more"),
-            ("platform.poll_ms", self.platform.poll_ms >= 50, "50 or more"),
+            (
+                "log_level",
+                is_level(&self.log_level),
+                "error, warn, info, debug or trace",
+            ),
+            (
+                "platform.timeout_ms",
+                self.platform.timeout_ms > 0,
+                "1 or more",
+            ),
+            (
+                "platform.poll_ms",
+                self.platform.poll_ms >= 50,
+                "50 or more",
+            ),
             ("limits.connections", limits.connections > 0, "1 or more"),
-            ("limits.running", (1..=10_000).contains(&limits.running), "1 to 10000"),
-            ("limits.head_bytes", limits.head_bytes >= 8_192, "8192 or more"),
+            (
+                "limits.running",
+                (1..=10_000).contains(&limits.running),
+                "1 to 10000",
+            ),
+            (
+                "limits.head_bytes",
+                limits.head_bytes >= 8_192,
+                "8192 or more",
+            ),
             ("limits.body_bytes", limits.body_bytes > 0, "1 or more"),
             ("limits.head_ms", limits.head_ms > 0, "1 or more"),
             ("limits.body_ms", limits.body_ms > 0, "1 or more"),
@@ -225,14 +265,17 @@
             ("listen.operators", listen.operators),
         ];
         let mut seen = BTreeSet::new();
-        let doubled = all.iter().filter(|(_, a)| a.port() != 0 && !seen.insert(*a));
+        let doubled = all
+            .iter()
+            .filter(|(_, a)| a.port() != 0 && !seen.insert(*a));
         let fault = |path: &str, found: String| Fault {
             path: path.into(),
             found,
             accepted: "an address of its own".into(),
         };
-        let mut faults: Vec<Fault> =
-            doubled.map(|(path, a)| fault(path, format!("{a}, which is taken"))).collect();
+        let mut faults: Vec<Fault> = doubled
+            .map(|(path, a)| fault(path, format!("{a}, which is taken")))
+            .collect();
         for (index, peer) in self.peers.iter().enumerate() {
             if peer.vm == self.vm && peer.address != listen.peers {
                 let path = format!("peers[{index}].address");
--- a/samphiresill/src/shared.rs
+++ b/samphiresill/src/shared.rs
@@ -110,7 +110,12 @@
     /// Where a target is reached; nothing when the configuration does not have it.
     #[must_use]
     pub fn address_of(&self, target: &TargetName) -> Option<SocketAddr> {
-        self.config.current().document.targets.get(target).map(|t| t.address)
+        self.config
+            .current()
+            .document
+            .targets
+            .get(target)
+            .map(|t| t.address)
     }
 
     /// Whether new requests are taken.
