Prove the attempt verdicts, the claim protocol and the nodes' invariants by tests

The table of verdicts found a refusal that said not-run after text had been delivered, and with it that a generation whose first attempt ran and whose second could not connect was told not-run. Both are told target_failed now. Ruled out: the sink (it passes the refusal on unchanged).

--- a/samphiresill-attempt/src/attempt.rs
+++ b/samphiresill-attempt/src/attempt.rs
@@ -29,7 +29,7 @@
 pub struct Sent {
     id: AttemptId,
     target: TargetName,
-    sent_at: Duration,
+    since: Duration,
     silence: Silence,
 }
 
@@ -78,7 +78,7 @@
         Sent {
             id: self.id,
             target: self.target,
-            sent_at: now,
+            since: now,
             silence: Silence::new(now),
         }
     }
@@ -104,7 +104,7 @@
         Answering {
             id: self.id,
             target: self.target,
-            sent_at: self.sent_at,
+            sent_at: self.since,
             first_at: now,
             last_at: now,
             pieces: 1,
--- a/samphiresill-attempt/src/claim.rs
+++ b/samphiresill-attempt/src/claim.rs
@@ -15,7 +15,7 @@
 /// How long a claim is kept, from its first use.
 pub const CLAIM_LIFE: Duration = Duration::from_hours(24);
 /// How long a running claim counts as in progress; afterwards its result is unknown.
-pub const IN_PROGRESS_LIFE: Duration = Duration::from_secs(60);
+pub const IN_PROGRESS_LIFE: Duration = Duration::from_mins(1);
 /// Largest answer that is recorded, in bytes; a larger one is recorded as unknown.
 pub const MAX_RECORDED_BYTES: usize = 64 * 1024;
 /// Reads that follow a lost reply before the claim is given up.
--- a/samphiresill-attempt/src/failure.rs
+++ b/samphiresill-attempt/src/failure.rs
@@ -78,11 +78,24 @@
 
 /// What an attempt's failure leads to.
 #[must_use]
-pub fn verdict(point: FailurePoint, situation: &Situation) -> Verdict {
-    match situation.nature {
+pub fn verdict(point: FailurePoint, situation: Situation) -> Verdict {
+    let verdict = match situation.nature {
         Nature::Once => verdict_once(point, situation.may_try_again),
         Nature::Idempotent => verdict_idempotent(point, situation.may_try_again),
         Nature::Generation => verdict_generation(point, situation),
+    };
+    match verdict {
+        // What has been delivered was run, wherever the last attempt failed.
+        Verdict::Tell(_) if situation.has_delivered => Verdict::Tell(Refusal::TargetFailed),
+        verdict => verdict,
+    }
+}
+
+impl FailurePoint {
+    /// Whether a target may have run the request although the attempt failed there.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::Connect | Self::RefusedByTarget)
     }
 }
 
@@ -104,7 +117,7 @@
     }
 }
 
-fn verdict_generation(point: FailurePoint, situation: &Situation) -> Verdict {
+fn verdict_generation(point: FailurePoint, situation: Situation) -> Verdict {
     if !situation.may_try_again {
         let is_untouched = matches!(point, FailurePoint::Connect | FailurePoint::RefusedByTarget)
             && !situation.has_delivered;
--- a/samphiresill-attempt/src/tests.rs
+++ b/samphiresill-attempt/src/tests.rs
@@ -1,1 +1,350 @@
-//! Tests of the attempt decisions.
+//! Tables of the verdicts, assembly of interrupted streams, and a walk over the claim protocol.
+
+use std::collections::BTreeSet;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use samphiresill_core::outcome::{Outcome, Refusal};
+
+use crate::assembly::{Assembly, Fault};
+use crate::claim::{
+    self, CLAIM_LIFE, Claim, Claimant, IN_PROGRESS_LIFE, Recorded, Reply, State, Step,
+};
+use crate::failure::{self, FailurePoint, Nature, Situation, Verdict};
+
+const POINTS: [FailurePoint; 6] = [
+    FailurePoint::Connect,
+    FailurePoint::Sending,
+    FailurePoint::RefusedByTarget,
+    FailurePoint::DuringAnswer,
+    FailurePoint::Silence,
+    FailurePoint::StreamLost,
+];
+
+fn situations(nature: Nature) -> Vec<Situation> {
+    let flags = [false, true];
+    let mut all = Vec::new();
+    for has_delivered in flags {
+        for is_deterministic in flags {
+            for may_try_again in flags {
+                all.push(Situation {
+                    nature,
+                    has_delivered,
+                    is_deterministic,
+                    may_try_again,
+                });
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn a_request_that_runs_once_is_sent_again_only_when_nothing_was_sent() {
+    for situation in situations(Nature::Once) {
+        for point in POINTS {
+            let verdict = failure::verdict(point, situation);
+            if point != FailurePoint::Connect {
+                let is_final = matches!(
+                    verdict,
+                    Verdict::PassOn | Verdict::Tell(Refusal::TargetFailed)
+                );
+                assert!(is_final, "{point}: {verdict}");
+            }
+        }
+    }
+}
+
+#[test]
+fn not_run_is_told_only_when_no_target_can_have_run_the_request() {
+    let untouched = [FailurePoint::Connect, FailurePoint::RefusedByTarget];
+    for nature in [Nature::Once, Nature::Idempotent, Nature::Generation] {
+        for situation in situations(nature) {
+            for point in POINTS {
+                if let Verdict::Tell(refusal) = failure::verdict(point, situation)
+                    && refusal.outcome() == Outcome::NotRun
+                {
+                    assert!(untouched.contains(&point), "{nature} {point}: {refusal}");
+                    assert!(!situation.has_delivered, "{nature} {point}: {refusal}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn delivered_text_is_never_followed_by_a_run_that_may_differ() {
+    for situation in situations(Nature::Generation) {
+        for point in POINTS {
+            let verdict = failure::verdict(point, situation);
+            if situation.has_delivered {
+                assert_ne!(verdict, Verdict::Retry, "{point} {situation:?}");
+            }
+            if verdict == Verdict::Replay {
+                assert!(situation.is_deterministic, "{point} {situation:?}");
+            }
+        }
+    }
+}
+
+/// One connection's pieces, from where it resumes to where it breaks off, some of them doubled.
+fn connection(rng: &mut StdRng, from: usize, text: &[String]) -> Vec<(usize, String)> {
+    let start = from - rng.random_range(0..=from.min(3));
+    let end = rng.random_range(start..=text.len());
+    let mut pieces = Vec::new();
+    for (index, piece) in text.iter().enumerate().take(end).skip(start) {
+        pieces.push((index, piece.clone()));
+        if rng.random_bool(0.1) {
+            pieces.push((index, piece.clone()));
+        }
+    }
+    pieces
+}
+
+#[test]
+fn interrupted_streams_are_delivered_whole_and_once() {
+    for seed in 0..3_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let length = rng.random_range(1..60);
+        let text: Vec<String> = (0..length).map(|i| format!("t{i} ")).collect();
+        let mut assembly = Assembly::default();
+        let mut delivered = String::new();
+        while assembly.next_index() < length || !assembly.is_caught_up() {
+            // A second run begins at the start; a resumed one where the first broke off.
+            let replays = rng.random_bool(0.1);
+            if replays {
+                assembly.begin_replay();
+            }
+            let is_behind = !assembly.is_caught_up();
+            let from = if is_behind { 0 } else { assembly.next_index() };
+            for (index, piece) in connection(&mut rng, from, &text) {
+                match assembly.accept(index, &piece) {
+                    Ok(Some(piece)) => delivered.push_str(piece),
+                    Ok(None) => {}
+                    Err(Fault::Gap) => break,
+                    Err(Fault::Differs) => panic!("seed {seed}: equal text differs"),
+                }
+            }
+        }
+        assert_eq!(delivered, text.concat(), "seed {seed}");
+        assert_eq!(assembly.text(), text.concat(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_missing_piece_and_another_text_are_faults() {
+    let mut assembly = Assembly::default();
+    assert_eq!(assembly.accept(0, "a"), Ok(Some("a")));
+    assert_eq!(assembly.accept(2, "c"), Err(Fault::Gap));
+    assembly.begin_replay();
+    assert_eq!(assembly.accept(0, "b"), Err(Fault::Differs));
+}
+
+/// How a call of the table service ends in the walk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Normal,
+    LostBefore,
+    LostAfter,
+}
+
+/// The walk's state: one row, and the claimants with what they do next.
+#[derive(Clone)]
+struct Walk {
+    row: Option<(u64, Claim)>,
+    claimants: Vec<(Claimant, Option<Step>)>,
+    runs: usize,
+    losses: usize,
+    crashes: usize,
+}
+
+fn claim_of(attempt: &str) -> Claim {
+    Claim {
+        fingerprint: "f".into(),
+        attempt: attempt.into(),
+        since_ms: 0,
+        state: State::Running,
+    }
+}
+
+impl Walk {
+    fn new(count: usize, losses: usize, crashes: usize) -> Self {
+        let start = |n: usize| {
+            let (claimant, step) = Claimant::new(claim_of(&format!("a{n}")));
+            (claimant, Some(step))
+        };
+        Self {
+            row: None,
+            claimants: (0..count).map(start).collect(),
+            runs: 0,
+            losses,
+            crashes,
+        }
+    }
+
+    /// Explores every order of steps, every lost reply and every crash.
+    fn explore(&self, seen: &mut BTreeSet<String>) -> usize {
+        assert!(self.runs <= 1, "a key is run at most once");
+        if !seen.insert(self.key()) {
+            return 0;
+        }
+        let mut visited = 1;
+        for index in 0..self.claimants.len() {
+            if self.claimants[index].1.is_none() {
+                continue;
+            }
+            for fate in [Fate::Normal, Fate::LostBefore, Fate::LostAfter] {
+                if fate == Fate::Normal || self.losses > 0 {
+                    visited += self.step(index, fate).explore(seen);
+                }
+            }
+            if self.crashes > 0 {
+                let mut next = self.clone();
+                next.crashes -= 1;
+                next.claimants[index].1 = None;
+                visited += next.explore(seen);
+            }
+        }
+        visited
+    }
+
+    fn key(&self) -> String {
+        format!(
+            "{:?} {:?} {} {} {}",
+            self.row, self.claimants, self.runs, self.losses, self.crashes
+        )
+    }
+
+    fn step(&self, index: usize, fate: Fate) -> Self {
+        let mut next = self.clone();
+        let Some(step) = next.claimants[index].1.take() else {
+            return next;
+        };
+        let reply = match step {
+            Step::Write(version) => next.write(index, version, fate),
+            Step::Read if fate == Fate::Normal => Reply::Row(next.row.clone()),
+            Step::Read => Reply::Lost,
+            Step::Run => {
+                next.runs += 1;
+                return next;
+            }
+            Step::Replay(_) | Step::Refuse(_) => return next,
+        };
+        next.losses -= usize::from(fate != Fate::Normal);
+        let step = next.claimants[index].0.next(reply, 0);
+        next.claimants[index].1 = Some(step);
+        next
+    }
+
+    fn write(&mut self, index: usize, version: u64, fate: Fate) -> Reply {
+        if fate == Fate::LostBefore {
+            return Reply::Lost;
+        }
+        let current = self.row.as_ref().map_or(0, |(version, _)| *version);
+        let fits = current == version;
+        if fits {
+            self.row = Some((current + 1, self.claimants[index].0.claim().clone()));
+        }
+        match (fate, fits) {
+            (Fate::LostAfter, _) => Reply::Lost,
+            (_, true) => Reply::Written,
+            (_, false) => Reply::Conflict,
+        }
+    }
+}
+
+#[test]
+fn every_order_of_claims_losses_and_crashes_runs_a_key_at_most_once() {
+    let visited = Walk::new(2, 3, 2).explore(&mut BTreeSet::new());
+    assert!(visited > 1_000, "only {visited} states");
+    let visited = Walk::new(3, 1, 1).explore(&mut BTreeSet::new());
+    assert!(visited > 1_000, "only {visited} states");
+}
+
+struct RowCase {
+    name: &'static str,
+    claim: Claim,
+    age_ms: u64,
+    step: Step,
+}
+
+#[test]
+fn a_second_use_of_a_key_gets_what_its_row_says() {
+    let recorded = Recorded {
+        status: 201,
+        content_type: "t".into(),
+        body: "b".into(),
+    };
+    let answered = State::Answered(recorded.clone());
+    let with = |state: State| Claim {
+        state,
+        ..claim_of("first")
+    };
+    let in_progress = IN_PROGRESS_LIFE.as_millis() as u64;
+    let life = CLAIM_LIFE.as_millis() as u64;
+    let other = Claim {
+        fingerprint: "g".into(),
+        ..with(answered.clone())
+    };
+    let refuse = Step::Refuse;
+    let cases = [
+        RowCase {
+            name: "answered",
+            claim: with(answered.clone()),
+            age_ms: 5,
+            step: Step::Replay(recorded),
+        },
+        RowCase {
+            name: "running",
+            claim: with(State::Running),
+            age_ms: in_progress - 1,
+            step: refuse(Refusal::InProgress),
+        },
+        RowCase {
+            name: "running for too long",
+            claim: with(State::Running),
+            age_ms: in_progress,
+            step: refuse(Refusal::KeyUnknown),
+        },
+        RowCase {
+            name: "unknown",
+            claim: with(State::Unknown),
+            age_ms: 5,
+            step: refuse(Refusal::KeyUnknown),
+        },
+        RowCase {
+            name: "another request",
+            claim: other,
+            age_ms: 5,
+            step: refuse(Refusal::KeyReused),
+        },
+        RowCase {
+            name: "expired",
+            claim: with(answered),
+            age_ms: life,
+            step: Step::Write(7),
+        },
+    ];
+    for case in cases {
+        let (mut claimant, _) = Claimant::new(claim_of("second"));
+        assert_eq!(
+            claimant.next(Reply::Conflict, 0),
+            Step::Read,
+            "{}",
+            case.name
+        );
+        let step = claimant.next(Reply::Row(Some((7, case.claim))), case.age_ms);
+        assert_eq!(step, case.step, "{}", case.name);
+    }
+}
+
+#[test]
+fn fingerprints_tell_method_path_and_body_apart() {
+    let base = claim::fingerprint("POST", "/orders", b"x");
+    let others = [
+        claim::fingerprint("PUT", "/orders", b"x"),
+        claim::fingerprint("POST", "/order", b"sx"),
+        claim::fingerprint("POST", "/orders", b"y"),
+    ];
+    assert!(others.iter().all(|o| *o != base));
+}
--- a/samphiresill-ctl/src/main.rs
+++ b/samphiresill-ctl/src/main.rs
@@ -107,7 +107,10 @@
     let is_json = given.opt_present("json");
     match words[..] {
         ["hash-key"] => hash_key().map_err(Failure::from),
-        ["status"] => show::status(&connect(given)?.status()?, is_json),
+        ["status"] => {
+            show::status(&connect(given)?.status()?, is_json);
+            Ok(())
+        }
         ["get"] => show::objects(&connect(given)?.get()?, None, None, is_json),
         ["get", kind] => {
             show::objects(&connect(given)?.get()?, Some(kind_of(kind)?), None, is_json)
--- a/samphiresill-ctl/src/show.rs
+++ b/samphiresill-ctl/src/show.rs
@@ -8,7 +8,7 @@
 use crate::client::Failure;
 
 /// Prints the state of the fleet.
-pub fn status(status: &StatusReply, is_json: bool) -> Result<(), Failure> {
+pub fn status(status: &StatusReply, is_json: bool) {
     if is_json {
         let routers: Vec<Value> = status
             .routers
@@ -20,7 +20,7 @@
             "waiting": status.waiting, "running": status.running, "pools": status.pools,
         });
         println!("{all}");
-        return Ok(());
+        return;
     }
     println!(
         "router {} at revision {}: {} waiting, {} running, {} pools",
@@ -30,7 +30,6 @@
     for router in &status.routers {
         println!("{:24} {:16} {}", router.vm, router.domain, router.revision);
     }
-    Ok(())
 }
 
 /// Prints objects of the configuration.
--- a/samphiresill-experiment/src/caller.rs
+++ b/samphiresill-experiment/src/caller.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 /// Time within which an answer's next piece has to come.
-const READ_TIMEOUT: Duration = Duration::from_secs(120);
+const READ_TIMEOUT: Duration = Duration::from_mins(2);
 
 /// `Answer` is a streamed answer with its times.
 #[derive(Clone, Debug)]
--- a/samphiresill-experiment/src/capacity.rs
+++ b/samphiresill-experiment/src/capacity.rs
@@ -37,13 +37,19 @@
     spec.optflag("j", "json", "print one JSON object a line");
     let given = spec.parse(args)?;
     if given.opt_present("help") {
-        print!("{}", spec.usage("Usage: samphiresill-experiment capacity [--json]"));
+        print!(
+            "{}",
+            spec.usage("Usage: samphiresill-experiment capacity [--json]")
+        );
         return Ok(());
     }
     let is_json = given.opt_present("json");
     let mut show = |name: &str, at: usize, value: f64, unit: &str| {
         if is_json {
-            println!("{}", json!({"figure": name, "at": at, "value": value, "unit": unit}));
+            println!(
+                "{}",
+                json!({"figure": name, "at": at, "value": value, "unit": unit})
+            );
         } else {
             println!("{name:32} at {at:6}: {value:12.3} {unit}");
         }
@@ -66,11 +72,17 @@
 type Show<'a> = &'a mut dyn FnMut(&str, usize, f64, &str);
 
 fn pool() -> PoolKey {
-    PoolKey { domain: "region-1-domain-1".into(), work: "model-of-usual-name".into() }
+    PoolKey {
+        domain: "region-1-domain-1".into(),
+        work: "model-of-usual-name".into(),
+    }
 }
 
 fn grant_id(seq: u64) -> GrantId {
-    GrantId { run: RunId(1_796_000_000_000 << 16), seq }
+    GrantId {
+        run: RunId(1_796_000_000_000 << 16),
+        seq,
+    }
 }
 
 fn bytes(message: &Message) -> anyhow::Result<f64> {
@@ -81,7 +93,7 @@
     Report {
         pool: pool(),
         incarnation: 1_796_000_000_000,
-        sent_at: Duration::from_secs(86_400),
+        sent_at: Duration::from_hours(24),
         full: true,
         demand: Vec::new(),
         started: Vec::new(),
@@ -98,20 +110,47 @@
     show("report_bytes", 0, base, "bytes");
     let mut report = empty_report();
     report.demand.push(demand(0));
-    show("report_demand_bytes", 1, bytes(&Message::Report(report))? - base, "bytes each");
+    show(
+        "report_demand_bytes",
+        1,
+        bytes(&Message::Report(report))? - base,
+        "bytes each",
+    );
     let mut report = empty_report();
-    report.progress.push(Progress { grant: grant_id(100_000), served: Tokens(2_000) });
-    show("report_progress_bytes", 1, bytes(&Message::Report(report))? - base, "bytes each");
+    report.progress.push(Progress {
+        grant: grant_id(100_000),
+        served: Tokens(2_000),
+    });
+    show(
+        "report_progress_bytes",
+        1,
+        bytes(&Message::Report(report))? - base,
+        "bytes each",
+    );
     let mut report = empty_report();
     report.released.push(Released {
         grant: grant_id(100_000),
         served: Tokens(2_000),
-        observed: Observed { first_token_ms: 900, between_tokens_us: 30_000, failed: false },
+        observed: Observed {
+            first_token_ms: 900,
+            between_tokens_us: 30_000,
+            failed: false,
+        },
     });
-    show("report_released_bytes", 1, bytes(&Message::Report(report))? - base, "bytes each");
+    show(
+        "report_released_bytes",
+        1,
+        bytes(&Message::Report(report))? - base,
+        "bytes each",
+    );
     let mut report = empty_report();
     report.started.push(started(1));
-    show("report_started_bytes", 1, bytes(&Message::Report(report))? - base, "bytes each");
+    show(
+        "report_started_bytes",
+        1,
+        bytes(&Message::Report(report))? - base,
+        "bytes each",
+    );
     let delivery = Delivery {
         grant: Grant {
             id: grant_id(100_000),
@@ -121,7 +160,7 @@
             customer: "customer-0123".into(),
             estimate: Tokens(2_000),
         },
-        basis: Duration::from_secs(86_400),
+        basis: Duration::from_hours(24),
         run: RunId(1_796_000_000_000 << 16),
         order: 100_000,
     };
@@ -159,8 +198,16 @@
 }
 
 fn document(customers: usize, targets: usize) -> Document {
-    let customer = Customer { share: 1.into(), key_hashes: [].into(), max_waiting: 1_000 };
-    let model = Model { first_token_ms: 1_400, between_tokens_ms: 42, quick_tokens: 256 };
+    let customer = Customer {
+        share: 1.into(),
+        key_hashes: [].into(),
+        max_waiting: 1_000,
+    };
+    let model = Model {
+        first_token_ms: 1_400,
+        between_tokens_ms: 42,
+        quick_tokens: 256,
+    };
     let target = |n: usize| Target {
         domain: pool().domain,
         address: ([127, 0, 0, 1], 1 + n as u16).into(),
@@ -170,10 +217,14 @@
         draining: false,
     };
     Document {
-        customers: (0..customers).map(|n| (demand(n).customer, customer.clone())).collect(),
+        customers: (0..customers)
+            .map(|n| (demand(n).customer, customer.clone()))
+            .collect(),
         models: [(pool().work, model)].into(),
         services: BTreeMap::new(),
-        targets: (0..targets).map(|n| (format!("target-{n:04}").into(), target(n))).collect(),
+        targets: (0..targets)
+            .map(|n| (format!("target-{n:04}").into(), target(n)))
+            .collect(),
     }
 }
 
@@ -185,7 +236,14 @@
     .into();
     let topology = Arc::new(Topology::new(&document(customers, 10), members));
     let opts = Options::default();
-    Scheduler::new("vm-1".into(), pool(), RunId(1), opts, topology, Duration::ZERO)
+    Scheduler::new(
+        "vm-1".into(),
+        pool(),
+        RunId(1),
+        opts,
+        topology,
+        Duration::ZERO,
+    )
 }
 
 /// Lets 33 routers report that requests of `customers` customers wait.
@@ -194,7 +252,9 @@
         let mut report = empty_report();
         report.sent_at = now;
         let first = router * customers / 33;
-        report.demand = (0..each.min(customers)).map(|n| demand((first + n) % customers)).collect();
+        report.demand = (0..each.min(customers))
+            .map(|n| demand((first + n) % customers))
+            .collect();
         let vm = VmName::from(format!("router-{router:03}"));
         scheduler.receive_report(now, &vm, &report);
     }
@@ -228,7 +288,10 @@
         vm: format!("router-{n:03}").into(),
         domain: format!("region-{}-domain-{}", n % 4, n % 10).into(),
         address: ([10, 0, 0, 1], 8_000 + n as u16).into(),
-        incarnation: Incarnation { start_ms: 1_796_000_000_000, refutations: 0 },
+        incarnation: Incarnation {
+            start_ms: 1_796_000_000_000,
+            refutations: 0,
+        },
         health: Health::Alive,
     };
     let seeds: Vec<Member> = (0..3.min(count)).map(member).collect();
@@ -236,11 +299,11 @@
     let view = |n: usize| Membership::new(member(n), seeds.clone(), opts, n as u64);
     let mut views: BTreeMap<VmName, Membership> =
         (0..count).map(|n| (member(n).vm, view(n))).collect();
-    let (mut sent_bytes, mut sent, mut spent) = (0, 0, Duration::ZERO);
+    let (mut bytes_sent, mut messages, mut busy) = (0, 0, Duration::ZERO);
     let names: Vec<VmName> = views.keys().cloned().collect();
     for step in 0..1_600u32 {
         let now = Duration::from_millis(50) * step;
-        let is_counted = now >= Duration::from_secs(60);
+        let is_counted = now >= Duration::from_mins(1);
         let start = Instant::now();
         let mut flying = Vec::new();
         for vm in &names {
@@ -248,34 +311,54 @@
             flying.extend(out.into_iter().map(|o| (vm.clone(), o)));
         }
         while let Some((from, output)) = flying.pop() {
-            let Output::Send(to, message) = output else { continue };
+            let Output::Send(to, message) = output else {
+                continue;
+            };
             if is_counted {
-                sent_bytes += postcard::to_stdvec(&message)?.len();
-                sent += 1;
+                bytes_sent += postcard::to_stdvec(&message)?.len();
+                messages += 1;
             }
-            let Some(view) = views.get_mut(&to.vm) else { continue };
+            let Some(view) = views.get_mut(&to.vm) else {
+                continue;
+            };
             let out = view.receive(now, &from, message);
             flying.extend(out.into_iter().map(|o| (to.vm.clone(), o)));
         }
         if is_counted {
-            spent += start.elapsed();
+            busy += start.elapsed();
         }
     }
     let node_seconds = count as f64 * 20.0;
-    show("membership_bytes", count, f64::from(sent_bytes as u32) / node_seconds, "bytes/node/s");
-    show("membership_messages", count, f64::from(sent) / node_seconds, "messages/node/s");
-    let core = spent.as_secs_f64() / node_seconds * 100.0;
+    show(
+        "membership_bytes",
+        count,
+        f64::from(bytes_sent as u32) / node_seconds,
+        "bytes/node/s",
+    );
+    show(
+        "membership_messages",
+        count,
+        f64::from(messages) / node_seconds,
+        "messages/node/s",
+    );
+    let core = busy.as_secs_f64() / node_seconds * 100.0;
     show("membership_core", count, core, "% of a core/node");
     Ok(())
 }
 
 /// Size of the configuration, and time to apply a change to it.
 fn configuration(customers: usize, show: Show) -> anyhow::Result<()> {
-    let mut snapshot = Snapshot { document: document(customers, 1_100), ..Snapshot::default() };
+    let mut snapshot = Snapshot {
+        document: document(customers, 1_100),
+        ..Snapshot::default()
+    };
     let text = serde_json::to_string(&snapshot)?;
     show("snapshot_bytes", customers, text.len() as f64, "bytes");
     let operation = Operation {
-        id: ObjectId { kind: Kind::Customer, name: "customer-0001".into() },
+        id: ObjectId {
+            kind: Kind::Customer,
+            name: "customer-0001".into(),
+        },
         value: Some(Object::Customer(Customer {
             share: 2.into(),
             key_hashes: [].into(),
@@ -283,13 +366,26 @@
         })),
         expected: None,
     };
-    let change = Change { change_id: "c".into(), operations: vec![operation] };
-    show("change_bytes", customers, serde_json::to_string(&change)?.len() as f64, "bytes");
+    let change = Change {
+        change_id: "c".into(),
+        operations: vec![operation],
+    };
+    show(
+        "change_bytes",
+        customers,
+        serde_json::to_string(&change)?.len() as f64,
+        "bytes",
+    );
     let start = Instant::now();
     for _ in 0..100 {
         snapshot = change::apply(&snapshot, &change)?;
     }
-    show("change_us", customers, start.elapsed().as_secs_f64() * 1e4, "us a change");
+    show(
+        "change_us",
+        customers,
+        start.elapsed().as_secs_f64() * 1e4,
+        "us a change",
+    );
     Ok(())
 }
 
@@ -308,13 +404,25 @@
             checks_fencing: false,
             draining: false,
         };
-        document.targets.insert(format!("target-{n:04}").into(), target);
+        document
+            .targets
+            .insert(format!("target-{n:04}").into(), target);
     }
-    let member = |n: usize| (format!("vm-{n:03}").into(), format!("domain-{}", n % 10).into());
+    let member = |n: usize| {
+        (
+            format!("vm-{n:03}").into(),
+            format!("domain-{}", n % 10).into(),
+        )
+    };
     let members: BTreeMap<VmName, DomainName> = (0..330).map(member).collect();
     let start = Instant::now();
     for _ in 0..20 {
         std::hint::black_box(Topology::new(&document, members.clone()));
     }
-    show("topology_us", 330, start.elapsed().as_secs_f64() * 1e6 / 20.0, "us a change");
+    show(
+        "topology_us",
+        330,
+        start.elapsed().as_secs_f64() * 1e6 / 20.0,
+        "us a change",
+    );
 }
--- a/samphiresill-experiment/src/fairness/case.rs
+++ b/samphiresill-experiment/src/fairness/case.rs
@@ -182,7 +182,7 @@
                 case.faults = vec![(
                     at(150),
                     Fault::Cut {
-                        length: Duration::from_secs(60),
+                        length: Duration::from_mins(1),
                     },
                 )];
             }
--- a/samphiresill-experiment/src/fairness/policy/granted.rs
+++ b/samphiresill-experiment/src/fairness/policy/granted.rs
@@ -142,7 +142,7 @@
         let mut decisions = Vec::new();
         for action in actions {
             match action {
-                Action::Send(to, message) => self.send(now, router, &to, message),
+                Action::Send(to, message) => self.send(now, router, &to, &message),
                 Action::Start {
                     request, target, ..
                 } => {
@@ -170,9 +170,9 @@
         decisions
     }
 
-    fn send(&mut self, now: Duration, from: usize, to: &VmName, message: Message) {
+    fn send(&mut self, now: Duration, from: usize, to: &VmName, message: &Message) {
         let to = self.index[to];
-        let encoded = postcard::to_stdvec(&message).expect("messages are serializable");
+        let encoded = postcard::to_stdvec(message).expect("messages are serializable");
         self.bytes += encoded.len() as u64 + ENVELOPE_BYTES;
         self.sent += 1;
         if self.are_apart(from, to) {
@@ -198,8 +198,8 @@
         }
     }
 
-    fn run_due(&mut self, now: Duration, due: Due, progress: Progress) -> Vec<Decision> {
-        match due {
+    fn run_due(&mut self, now: Duration, due: &Due, progress: Progress) -> Vec<Decision> {
+        match *due {
             Due::Arrive { to, item } => {
                 let paused_until = self.routers[to].paused_until;
                 if paused_until > now && self.routers[to].alive {
@@ -281,7 +281,7 @@
                 break;
             }
             self.due.pop();
-            decisions.extend(self.run_due(now, due, progress));
+            decisions.extend(self.run_due(now, &due, progress));
         }
         decisions
     }
--- a/samphiresill-experiment/src/fairness/world.rs
+++ b/samphiresill-experiment/src/fairness/world.rs
@@ -125,7 +125,7 @@
                 let Some(Reverse((_, _, happening))) = self.happenings.pop() else {
                     break;
                 };
-                self.happen(now, happening);
+                self.happen(now, &happening);
             }
         }
         let traffic = self.policy.traffic();
@@ -137,8 +137,8 @@
         self.happenings.push(Reverse((when, self.next, happening)));
     }
 
-    fn happen(&mut self, now: Duration, happening: Happening) {
-        match happening {
+    fn happen(&mut self, now: Duration, happening: &Happening) {
+        match *happening {
             Happening::Done { number, run } => self.done(now, number, run),
             Happening::Arrive { customer } => {
                 self.submit(now, customer, None);
@@ -304,19 +304,16 @@
         let Some(request) = self.requests.remove(&number) else {
             return;
         };
-        match request.running {
-            Some((target, _, _)) => {
-                self.ended[request.customer] += got.0;
-                self.free(now, target);
-            }
-            None => {
-                self.queued
-                    .iter_mut()
-                    .for_each(|q| q.retain(|n| *n != number));
-                let place = (request.customer, request.router);
-                let waiting = self.waiting.entry(place).or_default();
-                *waiting = waiting.saturating_sub(1);
-            }
+        if let Some((target, _, _)) = request.running {
+            self.ended[request.customer] += got.0;
+            self.free(now, target);
+        } else {
+            self.queued
+                .iter_mut()
+                .for_each(|q| q.retain(|n| *n != number));
+            let place = (request.customer, request.router);
+            let waiting = self.waiting.entry(place).or_default();
+            *waiting = waiting.saturating_sub(1);
         }
         let others = self
             .deployment
--- a/samphiresill-member/src/tests.rs
+++ b/samphiresill-member/src/tests.rs
@@ -8,6 +8,9 @@
 use crate::member::{Health, Incarnation, Member};
 use crate::membership::{Membership, Message, Options, Output};
 
+/// Whether a message from the first to the second router is dropped.
+type Rule = Box<dyn Fn(&str, &str) -> bool>;
+
 const STEP: Duration = Duration::from_millis(10);
 
 /// A group of routers whose messages arrive one step later, unless a rule drops them.
@@ -15,7 +18,7 @@
     now: Duration,
     views: BTreeMap<VmName, Membership>,
     silent: BTreeSet<VmName>,
-    dropped: Box<dyn Fn(&str, &str) -> bool>,
+    dropped: Rule,
     flying: Vec<(VmName, VmName, Message)>,
     sent: usize,
 }
--- a/samphiresill-platform/src/http.rs
+++ b/samphiresill-platform/src/http.rs
@@ -29,7 +29,7 @@
     /// # Errors
     /// `Refused` or `NoReply`.
     pub fn vms(&self) -> Result<Vec<Vm>> {
-        self.call(self.request(Method::GET, "/v1/vms"), String::new())
+        Self::call(self.request(Method::GET, "/v1/vms"), String::new())
     }
 
     /// Puts an object into the object store.
@@ -38,8 +38,7 @@
     /// `Refused` or `NoReply`.
     pub fn put_object(&self, key: &str, value: String) -> Result<()> {
         let path = format!("/v1/objects/{key}");
-        self.call::<serde_json::Value>(self.request(Method::PUT, &path), value)
-            .map(drop)
+        Self::call::<serde_json::Value>(self.request(Method::PUT, &path), value).map(drop)
     }
 
     /// Reads an object; nothing when it is absent.
@@ -48,7 +47,7 @@
     /// `Refused` or `NoReply`.
     pub fn get_object(&self, key: &str) -> Result<Option<String>> {
         let path = format!("/v1/objects/{key}");
-        let call = self.call::<serde_json::Value>(self.request(Method::GET, &path), String::new());
+        let call = Self::call::<serde_json::Value>(self.request(Method::GET, &path), String::new());
         match call {
             Ok(object) => Ok(object["value"].as_str().map(str::to_owned)),
             Err(Error::Refused { status: 404 }) => Ok(None),
@@ -66,10 +65,10 @@
     }
 
     fn post<T: DeserializeOwned>(&self, path: &str, body: &serde_json::Value) -> Result<T> {
-        self.call(self.request(Method::POST, path), body.to_string())
+        Self::call(self.request(Method::POST, path), body.to_string())
     }
 
-    fn call<T: DeserializeOwned>(&self, req: RequestBuilder, body: String) -> Result<T> {
+    fn call<T: DeserializeOwned>(req: RequestBuilder, body: String) -> Result<T> {
         let no_reply = |cause: String| Error::NoReply { cause };
         let response = req.text(body).send().map_err(|e| no_reply(e.to_string()))?;
         let status = response.status().as_u16();
--- a/samphiresill-sched/src/queue.rs
+++ b/samphiresill-sched/src/queue.rs
@@ -81,7 +81,7 @@
 /// `Queues` hold what waits at one router, by work and customer.
 #[derive(Clone, Debug)]
 pub struct Queues {
-    queues: BTreeMap<WorkName, BTreeMap<CustomerName, CustomerQueue>>,
+    by_work: BTreeMap<WorkName, BTreeMap<CustomerName, CustomerQueue>>,
     waiting: BTreeSet<RequestId>,
     quick_in_a_row: u32,
 }
@@ -91,7 +91,7 @@
     #[must_use]
     pub fn new(quick_in_a_row: u32) -> Self {
         Self {
-            queues: BTreeMap::new(),
+            by_work: BTreeMap::new(),
             waiting: BTreeSet::new(),
             quick_in_a_row,
         }
@@ -106,7 +106,7 @@
     /// When the request waits already: "a request waits at most once".
     pub fn push(&mut self, waiting: Waiting, max_waiting: u32) -> Result<(), Refusal> {
         let work = &waiting.work;
-        let customers = self.queues.entry(work.work.clone()).or_default();
+        let customers = self.by_work.entry(work.work.clone()).or_default();
         let queue = customers.entry(work.customer.clone()).or_default();
         if queue.len() >= max_waiting as usize && !work.is_retry {
             return Err(Refusal::QueueFull);
@@ -131,7 +131,7 @@
     /// When a queued request is not known to wait: "a request leaves its queue once".
     pub fn pop(&mut self, work: &WorkName, customer: &CustomerName) -> Option<Waiting> {
         let quick_in_a_row = self.quick_in_a_row;
-        let queue = self.queues.get_mut(work)?.get_mut(customer)?;
+        let queue = self.by_work.get_mut(work)?.get_mut(customer)?;
         let taken = queue.pop(quick_in_a_row)?;
         let was_waiting = self.waiting.remove(&taken.work.request);
         assert!(
@@ -165,7 +165,7 @@
     #[must_use]
     pub fn works(&self) -> Vec<WorkName> {
         let waiting = self
-            .queues
+            .by_work
             .iter()
             .filter(|(_, q)| q.values().any(|c| c.len() > 0));
         waiting.map(|(work, _)| work.clone()).collect()
@@ -174,14 +174,14 @@
     /// Requests of one customer that wait for a work.
     #[must_use]
     pub fn waiting(&self, work: &WorkName, customer: &CustomerName) -> u32 {
-        let queue = self.queues.get(work).and_then(|c| c.get(customer));
+        let queue = self.by_work.get(work).and_then(|c| c.get(customer));
         queue.map_or(0, |q| q.len() as u32)
     }
 
     /// What waits for one customer and work.
     #[must_use]
     pub fn demand(&self, work: &WorkName, customer: &CustomerName, now: Duration) -> Demand {
-        let queue = self.queues.get(work).and_then(|c| c.get(customer));
+        let queue = self.by_work.get(work).and_then(|c| c.get(customer));
         let next = queue.and_then(|q| q.next(self.quick_in_a_row));
         Demand {
             customer: customer.clone(),
@@ -194,7 +194,7 @@
     /// What waits for one work, by customer.
     #[must_use]
     pub fn demands(&self, work: &WorkName, now: Duration) -> Vec<Demand> {
-        let customers = self.queues.get(work).into_iter().flatten();
+        let customers = self.by_work.get(work).into_iter().flatten();
         let waiting = customers.filter(|(_, q)| q.len() > 0);
         waiting
             .map(|(customer, _)| self.demand(work, customer, now))
@@ -215,7 +215,7 @@
 
     fn remove_where(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
         let mut removed = Vec::new();
-        for queue in self.queues.values_mut().flat_map(BTreeMap::values_mut) {
+        for queue in self.by_work.values_mut().flat_map(BTreeMap::values_mut) {
             for line in [&mut queue.quick, &mut queue.patient] {
                 if line.iter().any(&gone) {
                     let (out, kept): (Vec<_>, Vec<_>) = line.drain(..).partition(&gone);
@@ -224,7 +224,7 @@
                 }
             }
         }
-        for customers in self.queues.values_mut() {
+        for customers in self.by_work.values_mut() {
             customers.retain(|_, q| q.len() > 0);
         }
         for waiting in &removed {
--- a/samphiresill-sched/src/scheduler/mod.rs
+++ b/samphiresill-sched/src/scheduler/mod.rs
@@ -282,21 +282,18 @@
         } else {
             None
         };
-        match router {
-            Some(vm) => {
-                let outgoing = self.deliver(now, &vm, grant);
-                let unmet = self.unmet_here();
-                self.told_unmet.retain(|c| unmet.contains(c));
-                vec![outgoing]
-            }
-            None => {
-                let pool = grant.pool.clone();
-                let message = Message::Return {
-                    pool: pool.clone(),
-                    grant: grant.id,
-                };
-                vec![Outgoing::Pool(pool, message)]
-            }
+        if let Some(vm) = router {
+            let outgoing = self.deliver(now, &vm, grant);
+            let unmet = self.unmet_here();
+            self.told_unmet.retain(|c| unmet.contains(c));
+            vec![outgoing]
+        } else {
+            let pool = grant.pool.clone();
+            let message = Message::Return {
+                pool: pool.clone(),
+                grant: grant.id,
+            };
+            vec![Outgoing::Pool(pool, message)]
         }
     }
 
--- a/samphiresill-standins/src/engine.rs
+++ b/samphiresill-standins/src/engine.rs
@@ -2,6 +2,7 @@
 //! report that lags, orders with fencing numbers, and faults.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -174,7 +175,7 @@
         while let Some((events, finished)) = self.wait_for(id, next) {
             if self.faults.is_silent(generation) {
                 // The connection stays open and carries nothing more.
-                thread::sleep(Duration::from_secs(60));
+                thread::sleep(Duration::from_mins(1));
                 break;
             }
             next += events.len();
@@ -229,8 +230,8 @@
         let order: Value = serde_json::from_str(&http::body(&mut req)).unwrap_or_default();
         let fence = order["fence"].as_u64().unwrap_or(0);
         let mut state = self.lock();
-        let stale = fence < state.highest_fence;
-        if !(stale && self.opts.checks_fencing) {
+        let is_old = fence < state.highest_fence;
+        if !(is_old && self.opts.checks_fencing) {
             state.highest_fence = state.highest_fence.max(fence);
             state.orders.push(order);
             drop(state);
@@ -337,10 +338,15 @@
 #[must_use]
 pub fn prompt_of(body: &Value) -> String {
     match &body["messages"] {
-        Value::Array(messages) => messages
-            .iter()
-            .map(|m| format!("{}: {}\n", m["role"].as_str().unwrap_or(""), m["content"]))
-            .collect(),
+        Value::Array(messages) => {
+            let mut prompt = String::new();
+            for message in messages {
+                let role = message["role"].as_str().unwrap_or("");
+                // Writing to a string does not fail.
+                let _ = writeln!(prompt, "{role}: {}", message["content"]);
+            }
+            prompt
+        }
         _ => body["prompt"].as_str().unwrap_or_default().to_owned(),
     }
 }
--- a/samphiresill-standins/src/fault.rs
+++ b/samphiresill-standins/src/fault.rs
@@ -7,6 +7,10 @@
 
 /// `Faults` are the faults in force; a control call replaces them whole.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a switch of its own in a control call"
+)]
 #[serde(deny_unknown_fields, default)]
 pub struct Faults {
     /// New requests are refused with status 503 before anything ran.
--- a/samphiresill-standins/src/http.rs
+++ b/samphiresill-standins/src/http.rs
@@ -77,10 +77,10 @@
 
 /// Answers with a JSON body.
 pub fn respond(req: Request, status: u16, body: &serde_json::Value) {
-    let header = Header::from_bytes("Content-Type", "application/json").expect("a valid header");
-    let response = Response::from_string(body.to_string())
-        .with_status_code(status)
-        .with_header(header);
+    let mut response = Response::from_string(body.to_string()).with_status_code(status);
+    if let Ok(header) = Header::from_bytes("Content-Type", "application/json") {
+        response.add_header(header);
+    }
     // The caller may be gone; there is nobody left to tell.
     let _ = req.respond(response);
 }
--- a/samphiresill-standins/src/service.rs
+++ b/samphiresill-standins/src/service.rs
@@ -50,7 +50,7 @@
             return drop(req.into_writer());
         }
         if self.faults.is_silent(generation) {
-            thread::sleep(Duration::from_secs(60));
+            thread::sleep(Duration::from_mins(1));
         }
         http::respond(req, status, &answer);
     }
--- a/samphiresill/src/forward/model.rs
+++ b/samphiresill/src/forward/model.rs
@@ -31,6 +31,8 @@
     /// Pieces that the customer was charged for.
     charged: usize,
     attempts: u32,
+    /// Whether some attempt may have run, so that the request cannot be told to be not run.
+    may_have_run: bool,
     is_prompt_charged: bool,
 }
 
@@ -115,6 +117,7 @@
             assembly: Assembly::default(),
             charged: 0,
             attempts: 0,
+            may_have_run: false,
             is_prompt_charged: false,
         }
     }
@@ -148,11 +151,10 @@
 
     /// Refuses for good; a request of which an attempt may have run is not told to be not run.
     async fn refuse(&mut self, refusal: Refusal) -> Outcome {
-        let is_certain = self.attempts == 0 || refusal == Refusal::TargetUnavailable;
-        let refusal = if is_certain {
-            refusal
-        } else {
+        let refusal = if self.may_have_run {
             Refusal::TargetFailed
+        } else {
+            refusal
         };
         self.sink.fail(refusal).await;
         refusal.outcome()
@@ -227,6 +229,7 @@
             } else {
                 point
             };
+            self.may_have_run |= point.may_have_run();
             let verdict = self.verdict(point, slot.target());
             log::info!(
                 request:% = self.work.request, attempt:% = progress.id(),
@@ -308,6 +311,6 @@
             is_deterministic: self.call.is_deterministic,
             may_try_again,
         };
-        failure::verdict(point, &situation)
+        failure::verdict(point, situation)
     }
 }
--- a/samphiresill/src/forward/service.rs
+++ b/samphiresill/src/forward/service.rs
@@ -118,7 +118,7 @@
         is_deterministic: false,
         may_try_again,
     };
-    failure::verdict(point, &situation)
+    failure::verdict(point, situation)
 }
 
 async fn attempt(
--- a/samphiresill/src/front/answer.rs
+++ b/samphiresill/src/front/answer.rs
@@ -1,4 +1,4 @@
-//! The form of every answer: request id, outcome, and the error body that OpenAI's clients know.
+//! The form of every answer: request id, outcome, and the error body that `OpenAI`'s clients know.
 
 use std::convert::Infallible;
 
--- a/samphiresill/src/front/openai.rs
+++ b/samphiresill/src/front/openai.rs
@@ -1,4 +1,4 @@
-//! The requests and answers of OpenAI's interface for completions.
+//! The requests and answers of `OpenAI`'s interface for completions.
 
 use std::collections::BTreeSet;
 
@@ -186,7 +186,7 @@
             }
             Endpoint::Text => json!({"index": 0, "text": text, "finish_reason": null}),
         };
-        self.event(choice)
+        self.event(&choice)
     }
 
     /// The end of a whole stream.
@@ -197,7 +197,7 @@
             Endpoint::Chat => json!({"index": 0, "delta": {}, "finish_reason": reason}),
             Endpoint::Text => json!({"index": 0, "text": "", "finish_reason": reason}),
         };
-        [&self.event(choice)[..], b"data: [DONE]\n\n"]
+        [&self.event(&choice)[..], b"data: [DONE]\n\n"]
             .concat()
             .into()
     }
@@ -235,7 +235,7 @@
         .to_string()
     }
 
-    fn event(&self, choice: Value) -> Bytes {
+    fn event(&self, choice: &Value) -> Bytes {
         let object = match self.endpoint {
             Endpoint::Chat => "chat.completion.chunk",
             Endpoint::Text => "text_completion",
--- a/samphiresill/src/operators/mod.rs
+++ b/samphiresill/src/operators/mod.rs
@@ -29,7 +29,7 @@
 /// Time between questions to the routers that a change is not known to be in force on.
 const ASK_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time that a call may wait for a change to be in force.
-const MAX_WAIT: Duration = Duration::from_secs(60);
+const MAX_WAIT: Duration = Duration::from_mins(1);
 /// Longest name of a change, in bytes.
 const MAX_CHANGE_ID_BYTES: usize = 128;
 
@@ -65,12 +65,13 @@
 ///
 /// # Errors
 /// When the address cannot be bound.
-pub async fn start(
+pub fn start(
     address: SocketAddr,
     shared: Arc<Shared>,
     view: Arc<View>,
     links: Links,
 ) -> anyhow::Result<()> {
+    let _guard = shared.runtime.enter();
     let incoming = TcpIncoming::bind(address)
         .map_err(|e| anyhow::anyhow!("cannot listen on {address}: {e}"))?
         .with_nodelay(Some(true));
--- a/samphiresill/src/peer/links.rs
+++ b/samphiresill/src/peer/links.rs
@@ -27,7 +27,7 @@
 /// Items in one frame.
 const MAX_ITEMS: usize = 256;
 /// Time for a delivery to be confirmed.
-const DELIVERY_TIMEOUT: Duration = Duration::from_millis(1_000);
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause after a failed connection; what waits meanwhile is dropped.
@@ -51,7 +51,7 @@
 pub struct Links {
     sender: Arc<Sender>,
     runtime: Handle,
-    links: Arc<Mutex<BTreeMap<VmName, Link>>>,
+    by_vm: Arc<Mutex<BTreeMap<VmName, Link>>>,
 }
 
 impl Links {
@@ -109,7 +109,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<VmName, Link>> {
-        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+        self.by_vm.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/samphiresill/src/peer/server.rs
+++ b/samphiresill/src/peer/server.rs
@@ -62,7 +62,7 @@
             let channel = BaseChannel::with_defaults(transport);
             let requests = channel.execute(server.clone().serve());
             tokio::spawn(async move {
-                requests.for_each(|response| async { response.await }).await;
+                requests.for_each(|response| response).await;
                 drop(permit);
             });
         }
--- a/samphiresill/src/router.rs
+++ b/samphiresill/src/router.rs
@@ -87,12 +87,7 @@
         runtime.block_on(start_peering(&shared, key, links.clone(), &view))?;
         let operators_address = shared.settings.listen.operators;
         let for_operators = (Arc::clone(&shared), Arc::clone(&view));
-        runtime.block_on(operators::start(
-            operators_address,
-            for_operators.0,
-            for_operators.1,
-            links,
-        ))?;
+        operators::start(operators_address, for_operators.0, for_operators.1, links)?;
         let for_follow = Arc::clone(&shared);
         let members = Arc::clone(&view);
         follow::start(config, table, poll, move || {
