--- a/samphiresill/src/front/answer.rs
+++ b/samphiresill/src/front/answer.rs
@@ -1,6 +1,7 @@
 //! The form of every answer: request id, outcome, and the error body that `OpenAI`'s clients know.
 
 use std::convert::Infallible;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -14,6 +15,8 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
+use crate::shared::AtWork;
+
 /// Header that carries the request's id.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header that carries the outcome.
@@ -64,10 +67,16 @@
 }
 
 /// An answer whose pieces follow as server-sent events.
+///
+/// The request counts as at work until the last piece has been taken.
 #[must_use]
-pub fn stream(request: &RequestId, pieces: mpsc::Receiver<Bytes>) -> Response<Body> {
-    let frames = futures::stream::unfold(pieces, |mut pieces| async {
-        pieces.recv().await.map(|piece| (piece, pieces))
+pub fn stream(
+    request: &RequestId,
+    pieces: mpsc::Receiver<Bytes>,
+    guard: Arc<AtWork>,
+) -> Response<Body> {
+    let frames = futures::stream::unfold((pieces, guard), |(mut pieces, guard)| async {
+        pieces.recv().await.map(|piece| (piece, (pieces, guard)))
     });
     let body = StreamBody::new(frames.map(|piece| Ok(Frame::data(piece))));
     let builder = head(request, 200, Outcome::Answered, "text/event-stream")
--- a/samphiresill/src/front/handler.rs
+++ b/samphiresill/src/front/handler.rs
@@ -50,7 +50,7 @@
     request: RequestId,
     customer: CustomerName,
     snapshot: Arc<Snapshot>,
-    guard: AtWork,
+    guard: Arc<AtWork>,
 }
 
 /// Answers one request.
@@ -73,7 +73,7 @@
     if !shared.is_ready() {
         return Err(Refusal::RouterUnavailable.into());
     }
-    let guard = shared.begin_work().ok_or(Refusal::RouterUnavailable)?;
+    let guard = Arc::new(shared.begin_work().ok_or(Refusal::RouterUnavailable)?);
     let snapshot = shared.config.current();
     let customer = customer_of(&snapshot, req.headers())?;
     let exchange = Exchange {
@@ -155,13 +155,14 @@
         let generation = Generation::new(Arc::clone(&self.shared), call, work, sink);
         let (request, customer) = (self.request.clone(), self.customer);
         let (shared, guard) = (self.shared, self.guard);
+        let for_body = Arc::clone(&guard);
         tokio::spawn(async move {
             let start = shared.clock.monotonic();
             let outcome = generation.run().await;
             end(&shared, guard, &request, &customer, outcome, start);
         });
         match head.await {
-            Ok(Head::Stream(pieces)) => Ok(answer::stream(&self.request, pieces)),
+            Ok(Head::Stream(pieces)) => Ok(answer::stream(&self.request, pieces, for_body)),
             Ok(Head::Whole(body)) => Ok(answer::whole(
                 &self.request,
                 200,
@@ -340,7 +341,7 @@
 
 fn end(
     shared: &Shared,
-    guard: AtWork,
+    guard: Arc<AtWork>,
     request: &RequestId,
     customer: &CustomerName,
     outcome: Outcome,
--- a/samphiresill/src/peer/links.rs
+++ b/samphiresill/src/peer/links.rs
@@ -73,7 +73,7 @@
         Self {
             sender,
             runtime,
-            links: Arc::default(),
+            by_vm: Arc::default(),
         }
     }
 
--- a/samphiresill/src/router.rs
+++ b/samphiresill/src/router.rs
@@ -15,6 +15,7 @@
 
 use crate::config::Config;
 use crate::dispatch::Dispatcher;
+use crate::front::Front;
 use crate::metrics::Metrics;
 use crate::peer::driver::{Driver, View};
 use crate::peer::frame::FrameKey;
@@ -34,6 +35,7 @@
 /// `Router` is a running router.
 pub struct Router {
     shared: Arc<Shared>,
+    front: Front,
     runtime: Runtime,
 }
 
@@ -81,7 +83,7 @@
             incarnation,
         }));
         operations::start(shared.settings.listen.operations, Arc::clone(&shared))?;
-        runtime.block_on(front::start(Arc::clone(&shared)))?;
+        let front = runtime.block_on(front::start(Arc::clone(&shared)))?;
         let poll = Duration::from_millis(shared.settings.platform.poll_ms);
         let view = Arc::new(View::default());
         runtime.block_on(start_peering(&shared, key, links.clone(), &view))?;
@@ -93,7 +95,11 @@
         follow::start(config, table, poll, move || {
             for_follow.publish_topology(&members.usable());
         })?;
-        Ok(Self { shared, runtime })
+        Ok(Self {
+            shared,
+            front,
+            runtime,
+        })
     }
 
     /// Takes no new requests, and waits until everything at work has ended.
@@ -102,6 +108,11 @@
         while self.shared.at_work() > 0 {
             std::thread::sleep(DRAIN_POLL);
         }
+        // The last answers are still on their way out.
+        self.front.close();
+        while self.front.connections() > 0 {
+            std::thread::sleep(DRAIN_POLL);
+        }
     }
 
     /// Ends the router.
