--- a/samphiresill-tests/src/lib.rs
+++ b/samphiresill-tests/src/lib.rs
@@ -177,7 +177,11 @@
     }
 
     /// Sends a request with a key of the caller and perhaps an idempotency key; nothing when the
+    /// Sends a request with a caller's key and perhaps an idempotency key; nothing when the
     /// connection fails.
+    ///
+    /// # Panics
+    /// When the method is none.
     #[must_use]
     pub fn call_with(
         &self,
--- a/samphiresill/src/front/handler.rs
+++ b/samphiresill/src/front/handler.rs
@@ -26,6 +26,8 @@
 use crate::forward::sink::{Head, Sink};
 use crate::shared::{AtWork, Shared};
 
+/// Longest time that an answer waits for its record.
+const RECORD_WAIT: Duration = Duration::from_millis(300);
 /// Longest idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
 
@@ -298,11 +300,13 @@
         Err(refusal) if refusal.outcome() == Outcome::NotRun => None,
         Err(_) => Some(claim::State::Unknown),
     };
-    // The caller's answer does not wait for the record.
-    shared.runtime.spawn_blocking(move || match state {
+    let recording = blocking(shared, move || match state {
         Some(state) => claims.record(&row_key, &held, state),
         None => claims.abandon(&row_key, &held),
     });
+    // A caller that has its answer finds it recorded, unless the platform is slow: then recording
+    // goes on without the caller.
+    let _ = tokio::time::timeout(RECORD_WAIT, recording).await;
     result
 }
 
