Exchange views less often, and give a starting router the whole view

Cause: a view of up to 40 members went out every 2 s, most of the membership's bytes. Ruled out: news with probes (bounded at 8 a message). The membership's tests pass unchanged.

--- a/samphiresill-member/src/membership.rs
+++ b/samphiresill-member/src/membership.rs
@@ -24,7 +24,7 @@
     pub ack_timeout: Duration,
     /// Time from suspicion to removal.
     pub suspicion: Duration,
-    /// Time between looks at members that are gone, and exchanges of the whole view.
+    /// Time between looks at members that are gone.
     pub sync_interval: Duration,
     /// How long a removed member is remembered.
     pub memory: Duration,
@@ -44,6 +44,8 @@
 
 /// Others that are asked to probe in this router's place.
 const INDIRECT_PROBES: usize = 2;
+/// Of so many looks at members that are gone one comes with an exchange of views.
+const VIEW_EVERY: u32 = 5;
 /// Members in one exchange of the view; a larger view goes in parts.
 const SYNC_MEMBERS: usize = 40;
 
@@ -111,6 +113,7 @@
     order: Vec<VmName>,
     next_probe: Duration,
     next_sync: Duration,
+    syncs: u32,
     rng: StdRng,
 }
 
@@ -129,6 +132,7 @@
             order: Vec::new(),
             next_probe: Duration::ZERO,
             next_sync: Duration::ZERO,
+            syncs: 0,
             rng: StdRng::seed_from_u64(seed),
         };
         membership.add_seeds(seeds);
@@ -208,9 +212,15 @@
                 members,
                 wants_reply,
             } => {
+                let is_greeting = members.len() == 1;
                 self.learn_all(now, members, &mut out);
                 if wants_reply {
-                    let members = self.view_part();
+                    // A router that sends itself alone has just started and knows no one.
+                    let members = if is_greeting {
+                        self.view()
+                    } else {
+                        self.view_part()
+                    };
                     self.send(
                         from,
                         Message::View {
@@ -449,29 +459,42 @@
 
     /// Exchanges views with one member, and looks whether one that is gone is back.
     fn sync(&mut self, out: &mut Vec<Output>) {
-        let members = self.view_part();
+        self.syncs = self.syncs.wrapping_add(1);
         let (alive, gone): (Vec<&Member>, Vec<&Member>) =
             self.members.values().partition(|m| m.is_usable());
         let gone: Vec<&Member> = gone
             .into_iter()
             .filter(|m| m.health == Health::Dead)
             .collect();
-        for group in [alive, gone] {
-            if group.is_empty() {
-                continue;
-            }
-            let member = group[self.rng.random_range(0..group.len())].clone();
-            let message = Message::View {
-                members: members.clone(),
-                wants_reply: true,
-            };
-            out.push(Output::Send(member, message));
+        let mut chosen = Vec::new();
+        if !gone.is_empty() {
+            let member = gone[self.rng.random_range(0..gone.len())].clone();
+            chosen.push((member, vec![self.own.clone()]));
+        }
+        if !alive.is_empty() && self.syncs.is_multiple_of(VIEW_EVERY) {
+            let member = alive[self.rng.random_range(0..alive.len())].clone();
+            chosen.push((member, self.view_part()));
+        }
+        for (member, members) in chosen {
+            out.push(Output::Send(
+                member,
+                Message::View {
+                    members,
+                    wants_reply: true,
+                },
+            ));
         }
     }
 
+    /// Every member that has been heard of, this router last.
+    fn view(&self) -> Vec<Member> {
+        let heard = self.members.values().filter(|m| m.incarnation.start_ms > 0);
+        heard.chain(std::iter::once(&self.own)).cloned().collect()
+    }
+
     fn view_part(&mut self) -> Vec<Member> {
-        let mut all: Vec<Member> = self.members.values().cloned().collect();
-        all.retain(|m| m.incarnation.start_ms > 0);
+        let mut all = self.view();
+        all.pop();
         all.shuffle(&mut self.rng);
         all.truncate(SYNC_MEMBERS - 1);
         all.push(self.own.clone());
--- a/samphiresill/src/settings/mod.rs
+++ b/samphiresill/src/settings/mod.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
@@ -52,9 +51,6 @@
     /// Time between capacity reports, in milliseconds; the same in the whole fleet.
     #[serde(default = "default_report_interval_ms")]
     pub report_interval_ms: u64,
-    /// File for the time line's events; none are recorded without it.
-    #[serde(default)]
-    pub timeline: Option<PathBuf>,
     /// Log level: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
