--- a/samphiresill/src/peer/driver.rs
+++ b/samphiresill/src/peer/driver.rs
@@ -133,6 +133,7 @@
     fn note_newer(&mut self, now: Duration, from: &VmName, revision: u64) {
         let have = self.shared.config.current().revision;
         if revision <= have {
+            self.newer_since = None;
             return;
         }
         let since = *self.newer_since.get_or_insert(now);
