Ask of all seeds together that enough was run

Cause: the check that a seed ends more than 50 requests failed at seed 131, where the trace shows all four routers paused for most of the six seconds (paused until 9.1, 7.4, 8.4 and 8.7 s at its end; 15 ended). Ruled out: a scheduler that stands still (the waiting requests all settled after the pauses). The check is against an empty run, not a promise: it now asks the same number of all 200 seeds on average; the promises are asserted for each seed as before.

--- a/samphiresill-sched/src/tests.rs
+++ b/samphiresill-sched/src/tests.rs
@@ -31,6 +31,7 @@
     }
 }"#;
 const ROUTERS: usize = 4;
+const SEEDS: u64 = 200;
 const STEP: Duration = Duration::from_millis(1);
 
 /// What becomes of a request.
@@ -277,7 +278,8 @@
     }
 }
 
-fn run(seed: u64) {
+/// Runs one seed; gives the number of requests that ended.
+fn run(seed: u64) -> usize {
     let mut group = Group::new(seed);
     for _ in 0..6_000 {
         group.step();
@@ -299,10 +301,6 @@
     }
     assert_eq!(group.count(Fate::Waiting), 0, "no request waits for ever");
     assert_eq!(group.count(Fate::Running), 0, "every started request ends");
-    assert!(
-        group.count(Fate::Ended) > 50,
-        "too little was run to show anything"
-    );
     // With nothing to do, every slot and every charge has been given back.
     for _ in 0..3_000 {
         group.step();
@@ -318,12 +316,20 @@
             );
         }
     }
+    group.count(Fate::Ended)
 }
 
 #[test]
 fn nodes_keep_their_invariants_through_kills_pauses_and_lost_messages() {
-    for seed in 0..200 {
+    let mut ended = 0;
+    for seed in 0..SEEDS {
         let result = std::panic::catch_unwind(|| run(seed));
         assert!(result.is_ok(), "seed {seed} failed");
+        ended += result.unwrap_or(0);
     }
+    // A single seed may pause every router for most of its time.
+    assert!(
+        ended > 50 * SEEDS as usize,
+        "too little was run to show anything: {ended}"
+    );
 }
