--- a/samphiresill/src/shared.rs
+++ b/samphiresill/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use derive_more::Deref;
 use samphiresill_attempt::attempt::AttemptId;
 use samphiresill_attempt::budget::Budgets;
 use samphiresill_attempt::failure::FailurePoint;
@@ -20,15 +21,15 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
-/// `Budget` holds the retry budgets of customers and targets.
+/// `Retries` are the retry budgets of customers and targets.
 #[derive(Default)]
 struct Retries {
     customers: Budgets<CustomerName>,
     targets: Budgets<TargetName>,
 }
 
-/// `Shared` is one router's state that all requests use.
-pub struct Shared {
+/// `Parts` are what a router is put together from.
+pub struct Parts {
     /// The settings.
     pub settings: Settings,
     /// The clock.
@@ -45,6 +46,13 @@
     pub metrics: Arc<Metrics>,
     /// Grows with each start of the process.
     pub incarnation: u64,
+}
+
+/// `Shared` is one router's state that all requests use: its parts, and counts of its own.
+#[derive(Deref)]
+pub struct Shared {
+    #[deref]
+    parts: Parts,
     retries: Mutex<Retries>,
     next_request: AtomicU64,
     is_stopping: AtomicBool,
@@ -60,39 +68,12 @@
     }
 }
 
-/// `Parts` are what [`Shared`] is made of.
-pub struct Parts {
-    /// The settings.
-    pub settings: Settings,
-    /// The clock.
-    pub clock: Arc<dyn Clock>,
-    /// The configuration in force.
-    pub config: Arc<Config>,
-    /// The capacity decisions.
-    pub dispatcher: Dispatcher,
-    /// The platform's table service.
-    pub table: Arc<dyn Table>,
-    /// Threads and tasks.
-    pub runtime: Handle,
-    /// Counters for operators.
-    pub metrics: Arc<Metrics>,
-    /// Grows with each start of the process.
-    pub incarnation: u64,
-}
-
 impl Shared {
     /// Puts the parts together.
     #[must_use]
     pub fn new(parts: Parts) -> Self {
         Self {
-            settings: parts.settings,
-            clock: parts.clock,
-            config: parts.config,
-            dispatcher: parts.dispatcher,
-            table: parts.table,
-            runtime: parts.runtime,
-            metrics: parts.metrics,
-            incarnation: parts.incarnation,
+            parts,
             retries: Mutex::default(),
             next_request: AtomicU64::new(1),
             is_stopping: AtomicBool::new(false),
