Tell a new scheduler what waits even when nothing about it changes

Cause: when the scheduler of its pool changed, a router forgot what it had told and, with no new request and nothing running, counted its link as idle and reported nothing more: its waiting requests starved. Ruled out: grants lost on the way (none was outstanding), the account of the customer (it was the least charged at every scheduler).

--- a/samphiresill-sched/src/link.rs
+++ b/samphiresill-sched/src/link.rs
@@ -301,7 +301,8 @@
         for told in self.declined.values_mut() {
             *told = Told::Never;
         }
-        self.told_waiting.clear();
+        // What waits has to be told anew, even if nothing about it changes any more.
+        self.changed.extend(std::mem::take(&mut self.told_waiting).into_keys());
         self.last_full = None;
         self.is_urgent = true;
     }
--- a/samphiresill-sched/src/tests.rs
+++ b/samphiresill-sched/src/tests.rs
@@ -211,7 +211,14 @@
         let request: RequestId = format!("q{}", self.fates.len()).into();
         let customer = ["a", "b", "c"][self.rng.random_range(0..3)].into();
         let is_quick = self.rng.random_bool(0.3);
+        // A request without an end to its patience shows a router that has stopped asking for it.
+        let is_patient = self.rng.random_bool(0.3);
         let patience = Duration::from_millis(self.rng.random_range(50..20_000));
+        let patience = if is_patient {
+            Duration::from_hours(1)
+        } else {
+            patience
+        };
         self.fates.insert(request.clone(), Fate::Waiting);
         self.alive[index].insert(request.clone());
         let work = Work {
