--- a/samphiresill-sched/src/link.rs
+++ b/samphiresill-sched/src/link.rs
@@ -302,7 +302,8 @@
             *told = Told::Never;
         }
         // What waits has to be told anew, even if nothing about it changes any more.
-        self.changed.extend(std::mem::take(&mut self.told_waiting).into_keys());
+        self.changed
+            .extend(std::mem::take(&mut self.told_waiting).into_keys());
         self.last_full = None;
         self.is_urgent = true;
     }
