--- a/samphiresill-sched/src/scheduler/mod.rs
+++ b/samphiresill-sched/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 //! taken back in full; service given never falls.
 
 pub mod demand;
+pub mod exchange;
 pub mod slots;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,8 +20,7 @@
 
 use crate::ledger::Ledger;
 use crate::message::{
-    Account, Acknowledge, Delivery, Grant, GrantId, Message, Observed, PoolKey, Report, RunId,
-    Started, Summary,
+    Acknowledge, Delivery, Grant, GrantId, Message, Observed, PoolKey, Report, RunId, Started,
 };
 use crate::options::Options;
 use crate::topology::Topology;
@@ -29,8 +29,6 @@
 
 /// Lapsed grants whose service can still be told.
 const MAX_LAPSED: usize = 10_000;
-/// Of so many summaries one holds every account, to mend what lost ones have left out.
-const FULL_SUMMARY_EVERY: u32 = 16;
 
 /// `Outgoing` is a message with its receiver.
 #[derive(Clone, Debug, PartialEq)]
@@ -233,86 +231,6 @@
         out
     }
 
-    /// Takes in the summary of the same work's scheduler in another domain.
-    pub fn receive_summary(&mut self, now: Duration, summary: &Summary) -> Vec<Outgoing> {
-        let domain = &summary.pool.domain;
-        let run = (domain.clone(), summary.run);
-        if self
-            .heard_runs
-            .get(&run)
-            .is_some_and(|(sent_at, _)| *sent_at >= summary.sent_at)
-        {
-            return Vec::new();
-        }
-        self.heard_runs.insert(run, (summary.sent_at, now));
-        let silence = self
-            .peers
-            .get(domain)
-            .map(|p| now.saturating_sub(p.heard_at));
-        let is_rejoin = silence.is_none_or(|s| s > self.opts.rejoin_silence);
-        self.update_peer(now, summary);
-        let is_adoptable = now < self.listen_until && !self.has_adopted;
-        if is_adoptable && !summary.listening {
-            self.has_adopted = true;
-            self.ledger.adopt(domain, summary.run, &summary.accounts);
-        } else {
-            self.ledger.merge(domain, summary.run, &summary.accounts);
-            if is_rejoin {
-                self.ledger.cap_debt(self.opts.max_debt);
-            }
-        }
-        self.is_full_wanted |= summary.listening || is_rejoin;
-        self.is_summary_urgent |= self.is_full_wanted;
-        self.schedule(now)
-    }
-
-    /// Takes in a grant of another domain's slot, and passes it to a router with a request for it.
-    pub fn receive_offer(&mut self, now: Duration, delivery: Delivery) -> Vec<Outgoing> {
-        let grant = delivery.grant;
-        if let Some(peer) = self.peers.get_mut(&grant.pool.domain) {
-            let highest = match peer.seen {
-                Some((run, order)) if run == delivery.run => order.max(delivery.order),
-                _ => delivery.order,
-            };
-            peer.seen = Some((delivery.run, highest));
-        }
-        let is_alive = now.saturating_sub(delivery.basis) <= self.opts.grant_life;
-        let router = if is_alive {
-            self.router_for(&grant.customer)
-        } else {
-            None
-        };
-        if let Some(vm) = router {
-            let outgoing = self.deliver(now, &vm, grant);
-            let unmet = self.unmet_here();
-            self.told_unmet.retain(|c| unmet.contains(c));
-            vec![outgoing]
-        } else {
-            let pool = grant.pool.clone();
-            let message = Message::Return {
-                pool: pool.clone(),
-                grant: grant.id,
-            };
-            vec![Outgoing::Pool(pool, message)]
-        }
-    }
-
-    /// Takes back a grant that another domain had no use for.
-    pub fn receive_return(&mut self, now: Duration, grant: GrantId) -> Vec<Outgoing> {
-        let Some(held) = self.held.get(&grant) else {
-            return Vec::new();
-        };
-        if held.router.is_some() {
-            return Vec::new();
-        }
-        let customer = held.customer.clone();
-        if let Some(peer) = held.offered_to.as_ref().and_then(|d| self.peers.get_mut(d)) {
-            peer.receiver.forget_wish(&customer);
-        }
-        self.settle(now, grant, None);
-        self.schedule(now)
-    }
-
     /// Does what time alone brings about: lapsed leases, silent senders, summaries that are due.
     pub fn tick(&mut self, now: Duration) -> Vec<Outgoing> {
         self.expire(now);
@@ -376,38 +294,6 @@
         }
     }
 
-    /// Takes the wishes of another domain from the newest life of its scheduler that is heard.
-    fn update_peer(&mut self, now: Duration, summary: &Summary) {
-        let is_older = self.peers.get(&summary.pool.domain).is_some_and(|p| {
-            summary.run < p.run && now <= p.heard_at + self.opts.rejoin_silence / 2
-        });
-        if is_older {
-            return;
-        }
-        let peer = self
-            .peers
-            .entry(summary.pool.domain.clone())
-            .or_insert_with(|| Peer {
-                run: summary.run,
-                sent_at: summary.sent_at,
-                heard_at: now,
-                receiver: Receiver::default(),
-                seen: None,
-            });
-        (peer.run, peer.sent_at, peer.heard_at) = (summary.run, summary.sent_at, now);
-        peer.receiver.note_seen(self.run, summary.seen);
-        let unmet = summary.accounts.iter().filter(|a| a.unmet > 0);
-        let wishes = unmet.map(|a| {
-            let wish = Wish {
-                waiting: a.unmet,
-                estimate: a.estimate,
-                since: now,
-            };
-            (a.customer.clone(), wish)
-        });
-        peer.receiver.set_all(wishes.collect());
-    }
-
     fn note_started(&mut self, now: Duration, from: &VmName, started: &Started) {
         let lease_until = now + self.opts.slot_lease;
         if let Some(held) = self.held.get_mut(&started.grant) {
@@ -665,22 +551,6 @@
         Outgoing::Router(vm.clone(), Message::Grant(delivery))
     }
 
-    fn offer(&mut self, now: Duration, domain: &DomainName, grant: Grant) -> Option<Outgoing> {
-        let peer = self.peers.get_mut(domain)?;
-        let order = peer.receiver.send(now, &grant.customer);
-        let delivery = Delivery {
-            grant,
-            basis: peer.sent_at,
-            run: self.run,
-            order,
-        };
-        let to = PoolKey {
-            domain: domain.clone(),
-            work: self.pool.work.clone(),
-        };
-        Some(Outgoing::Pool(to.clone(), Message::Offer { to, delivery }))
-    }
-
     /// The router at which a customer's request has waited longest.
     fn router_for(&self, customer: &CustomerName) -> Option<VmName> {
         let with_unmet = self
@@ -692,87 +562,4 @@
             .min_by_key(|(_, r)| since(r))
             .map(|(vm, _)| vm.clone())
     }
-
-    /// The other domain with the most unmet requests of a customer.
-    fn domain_for(&self, customer: &CustomerName) -> Option<DomainName> {
-        let unmet = self
-            .peers
-            .iter()
-            .map(|(d, p)| (p.receiver.unmet(customer), d));
-        unmet
-            .filter(|(unmet, _)| *unmet > 0)
-            .max_by_key(|(unmet, _)| *unmet)
-            .map(|(_, d)| d.clone())
-    }
-
-    fn is_summary_due(&self, now: Duration) -> bool {
-        let Some(last) = self.last_summary else {
-            return true;
-        };
-        let is_active = !self.held.is_empty() || !self.told_unmet.is_empty();
-        (self.is_summary_urgent && now >= last + self.opts.summary_gap)
-            || (is_active && now >= last + self.opts.summary_interval)
-    }
-
-    fn summaries(&mut self, now: Duration) -> Vec<Outgoing> {
-        self.last_summary = Some(now);
-        self.is_summary_urgent = false;
-        self.summaries_sent = self.summaries_sent.wrapping_add(1);
-        let is_full = self.is_full_wanted || self.summaries_sent.is_multiple_of(FULL_SUMMARY_EVERY);
-        self.is_full_wanted = false;
-        let accounts = self.accounts(is_full);
-        let unmet = accounts.iter().filter(|a| a.unmet > 0);
-        self.told_unmet = unmet.map(|a| a.customer.clone()).collect();
-        let others = self
-            .topology
-            .domains()
-            .into_iter()
-            .filter(|d| *d != self.pool.domain);
-        let summary = |domain: DomainName| {
-            let to = PoolKey {
-                domain,
-                work: self.pool.work.clone(),
-            };
-            let summary = Summary {
-                pool: self.pool.clone(),
-                run: self.run,
-                sent_at: now,
-                listening: now < self.listen_until,
-                accounts: accounts.clone(),
-                seen: self.peers.get(&to.domain).and_then(|p| p.seen),
-            };
-            Outgoing::Pool(to.clone(), Message::Summary { to, summary })
-        };
-        others.map(summary).collect()
-    }
-
-    /// The lines of a summary: customers with changed accounts or unmet requests, or all.
-    fn accounts(&mut self, is_full: bool) -> Vec<Account> {
-        let changed = self.ledger.take_changed();
-        let mut customers = if is_full {
-            self.ledger.customers()
-        } else {
-            changed
-        };
-        let mut wishes: BTreeMap<&CustomerName, (u32, Tokens)> = BTreeMap::new();
-        for router in self.routers.values() {
-            for (customer, unmet, wish) in router.receiver.unmet_all() {
-                let entry = wishes.entry(customer).or_default();
-                *entry = (entry.0 + unmet, wish.estimate);
-            }
-        }
-        let account = |customer: &CustomerName| {
-            let (unmet, estimate) = wishes.get(customer).copied().unwrap_or_default();
-            Account {
-                customer: customer.clone(),
-                served: self.ledger.served(customer),
-                outstanding: self.ledger.outstanding(customer),
-                unmet,
-                estimate,
-                virtual_time: self.ledger.virtual_time(customer),
-            }
-        };
-        customers.extend(wishes.keys().map(|c| (*c).clone()));
-        customers.iter().map(account).collect()
-    }
 }
