--- a/samphiresill-attempt/src/failure.rs
+++ b/samphiresill-attempt/src/failure.rs
@@ -32,6 +32,9 @@
     /// The target refused by itself, with a status that says it is not able to serve.
     #[display("refused by target")]
     RefusedByTarget,
+    /// The target states that it has not run the request and will not run it.
+    #[display("not executed")]
+    NotExecuted,
     /// The answer broke off.
     #[display("during answer")]
     DuringAnswer,
@@ -95,14 +98,19 @@
     /// Whether a target may have run the request although the attempt failed there.
     #[must_use]
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::Connect | Self::RefusedByTarget)
+        !matches!(
+            self,
+            Self::Connect | Self::RefusedByTarget | Self::NotExecuted
+        )
     }
 }
 
 fn verdict_once(point: FailurePoint, may_try_again: bool) -> Verdict {
     match (point, may_try_again) {
-        (FailurePoint::Connect, true) => Verdict::Retry,
-        (FailurePoint::Connect, false) => Verdict::Tell(Refusal::TargetUnavailable),
+        (FailurePoint::Connect | FailurePoint::NotExecuted, true) => Verdict::Retry,
+        (FailurePoint::Connect | FailurePoint::NotExecuted, false) => {
+            Verdict::Tell(Refusal::TargetUnavailable)
+        }
         (FailurePoint::RefusedByTarget, _) => Verdict::PassOn,
         _ => Verdict::Tell(Refusal::TargetFailed),
     }
@@ -111,7 +119,9 @@
 fn verdict_idempotent(point: FailurePoint, may_try_again: bool) -> Verdict {
     match (point, may_try_again) {
         (_, true) => Verdict::Retry,
-        (FailurePoint::Connect, false) => Verdict::Tell(Refusal::TargetUnavailable),
+        (FailurePoint::Connect | FailurePoint::NotExecuted, false) => {
+            Verdict::Tell(Refusal::TargetUnavailable)
+        }
         (FailurePoint::RefusedByTarget, false) => Verdict::PassOn,
         (_, false) => Verdict::Tell(Refusal::TargetFailed),
     }
@@ -119,8 +129,7 @@
 
 fn verdict_generation(point: FailurePoint, situation: Situation) -> Verdict {
     if !situation.may_try_again {
-        let is_untouched = matches!(point, FailurePoint::Connect | FailurePoint::RefusedByTarget)
-            && !situation.has_delivered;
+        let is_untouched = !point.may_have_run() && !situation.has_delivered;
         let refusal = if is_untouched {
             Refusal::TargetUnavailable
         } else {
--- a/samphiresill-core/src/lib.rs
+++ b/samphiresill-core/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod clock;
 pub mod name;
 pub mod outcome;
+pub mod routing;
 pub mod units;
--- /dev/null
+++ b/samphiresill-gateway/src/connection/mod.rs
@@ -0,0 +1,137 @@
+//! Connections to targets, peers and the store, kept open between requests.
+
+pub mod call;
+pub mod pool;
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Time for unacknowledged bytes after which a connection is given up: a peer that is cut off
+/// answers nothing, and a connection can turn silent without a reset.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Silence after which the first keep-alive probe goes out, and the pause between probes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is given up.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// `Error` is how sending a request over a connection can fail.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// No connection could be made; nothing was sent.
+    #[display("no connection: {_0}")]
+    Connect(io::Error),
+    /// The connection had ended before the request was sent; nothing was sent.
+    #[display("the connection had ended")]
+    #[from(skip)]
+    Unsent,
+    /// The connection failed after bytes of the request may have been sent.
+    #[display("the connection failed: {_0}")]
+    Broken(hyper::Error),
+    /// The body of the answer broke off.
+    #[display("the answer broke off: {cause}")]
+    #[from(skip)]
+    Cut {
+        /// What was seen.
+        #[error(not(source))]
+        cause: String,
+    },
+    /// No answer came in time.
+    #[display("no answer in time")]
+    #[from(skip)]
+    Timeout,
+}
+
+impl Error {
+    /// Whether it is certain that no byte of the request was sent.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connect(_) | Self::Unsent)
+    }
+}
+
+/// `Connection` serves one request at a time; dropping it closes it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// `Connect`, also when it takes longer than `timeout`.
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, Error> {
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+        let timed_out = |_| io::Error::from(io::ErrorKind::TimedOut);
+        let stream = connecting.await.map_err(timed_out)??;
+        set_options(&stream)?;
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                log::debug!(error:% = e; "connection ended");
+            }
+        });
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Whether another request can be sent now.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// `Unsent` or `Broken`.
+    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        let sent = self.sender.try_send_request(req).await;
+        sent.map_err(|mut e| {
+            if e.take_message().is_some() {
+                Error::Unsent
+            } else {
+                Error::Broken(e.into_error())
+            }
+        })
+    }
+}
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/samphiresill-gateway/src/connection/pool.rs
@@ -0,0 +1,115 @@
+//! Idle connections, by address.
+//!
+//! Invariant: a connection is in the pool only while no request uses it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::header::{CONNECTION, HeaderName};
+use samphiresill_core::clock::Clock;
+
+use super::{Connection, Error};
+
+/// Time that a connection is kept when the other side names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Margin before the other side closes an idle connection: its clock began earlier than ours.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Idle connections for each address.
+const MAX_IDLE: usize = 64;
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Duration,
+}
+
+/// `Pool` keeps connections open between requests.
+pub struct Pool {
+    clock: Arc<dyn Clock>,
+    idle: Mutex<BTreeMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            clock,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// An idle connection, or a new one.
+    ///
+    /// # Errors
+    /// `Connect`, also when it takes longer than `timeout`.
+    pub async fn acquire(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, Error> {
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(address, timeout).await,
+        }
+    }
+
+    /// Keeps a connection whose answer has ended, unless the answer's head forbids it.
+    pub fn release(&self, address: SocketAddr, connection: Connection, answer: &HeaderMap) {
+        if connection.is_closed() || closes(answer) {
+            return;
+        }
+        let keep = keep_alive(answer).unwrap_or(DEFAULT_IDLE);
+        let Some(keep) = keep.checked_sub(IDLE_MARGIN) else {
+            return;
+        };
+        let until = self.clock.monotonic() + keep;
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = idle.entry(address).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle { connection, until });
+        }
+    }
+
+    /// Closes the idle connections of addresses that are not kept, and those that are too old.
+    pub fn retain(&self, is_kept: impl Fn(&SocketAddr) -> bool) {
+        let now = self.clock.monotonic();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for connections in idle.values_mut() {
+            connections.retain(|i| i.until > now && !i.connection.is_closed());
+        }
+        idle.retain(|address, connections| is_kept(address) && !connections.is_empty());
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let now = self.clock.monotonic();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get_mut(&address)?;
+        connections.retain(|i| i.until > now && !i.connection.is_closed());
+        // The most recently used one is the least likely to be closed by the other side.
+        let position = connections.iter().rposition(|i| i.connection.is_ready())?;
+        Some(connections.remove(position).connection)
+    }
+}
+
+fn closes(answer: &HeaderMap) -> bool {
+    let values = answer.get_all(CONNECTION).into_iter();
+    let mut tokens = values
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','));
+    tokens.any(|t| t.trim().eq_ignore_ascii_case("close"))
+}
+
+/// The time for which the other side keeps an idle connection, when it names one.
+fn keep_alive(answer: &HeaderMap) -> Option<Duration> {
+    let value = answer
+        .get(HeaderName::from_static("keep-alive"))?
+        .to_str()
+        .ok()?;
+    let mut fields = value.split(',').filter_map(|f| f.trim().split_once('='));
+    let (_, seconds) = fields.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/samphiresill-gateway/src/gateway.rs
@@ -0,0 +1,200 @@
+//! One gateway, put together from its parts.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use samphiresill_attempt::budget::{self, Budgets};
+use samphiresill_core::clock::Clock;
+use samphiresill_core::name::{DomainName, WorkName};
+use samphiresill_sched::fleet::account::Account;
+
+use crate::callers;
+use crate::connection::pool::Pool;
+use crate::dialect::Dialect;
+use crate::knowledge::Knowledge;
+use crate::peers::Peers;
+use crate::readiness;
+use crate::settings::Settings;
+
+/// Time from the signal to stop until the balancer sends no new connections: two failed checks,
+/// a second apart, and a margin.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2_600);
+/// Margin before the process would be killed.
+const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// Pause between looks at what is still at work during a stop.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Pause between sweeps of idle connections.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Part of the fleet's retry allowance that is used: routers do not count each other's retries.
+const RETRY_SAFETY: f64 = 0.8;
+
+/// `Gateway` is what all requests of a process share.
+pub struct Gateway {
+    /// The settings in force.
+    pub settings: ArcSwap<Settings>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The names on the wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// Configuration and targets.
+    pub knowledge: Arc<Knowledge>,
+    /// Connections to targets.
+    pub targets: Pool,
+    /// Connections to peers.
+    pub calls: Pool,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    account: Mutex<Account>,
+    retries: Mutex<Budgets<WorkName>>,
+    is_stopping: AtomicBool,
+    at_work: Arc<AtomicUsize>,
+}
+
+/// `AtWork` counts a request as long as it is held.
+#[derive(Debug)]
+pub struct AtWork(Arc<AtomicUsize>);
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Gateway {
+    /// Puts a gateway together; `origin` is new with each start of the process.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+        dialect: Arc<dyn Dialect>,
+        knowledge: Arc<Knowledge>,
+        origin: u64,
+    ) -> Arc<Self> {
+        let gateway = Self {
+            domain: settings.domain.clone(),
+            settings: ArcSwap::from_pointee(settings),
+            targets: Pool::new(Arc::clone(&clock)),
+            calls: Pool::new(Arc::clone(&clock)),
+            clock,
+            dialect,
+            knowledge,
+            account: Mutex::new(Account::new(origin)),
+            retries: Mutex::default(),
+            is_stopping: AtomicBool::new(false),
+            at_work: Arc::default(),
+        };
+        gateway.size_retries(1);
+        Arc::new(gateway)
+    }
+
+    /// The account of the fleet's load; held for one decision, never across I/O.
+    pub fn account(&self) -> MutexGuard<'_, Account> {
+        self.account.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request as at work while the value is held.
+    #[must_use]
+    pub fn begin_work(&self) -> AtWork {
+        self.at_work.fetch_add(1, Ordering::AcqRel);
+        AtWork(Arc::clone(&self.at_work))
+    }
+
+    /// Requests that are at work.
+    #[must_use]
+    pub fn at_work(&self) -> usize {
+        self.at_work.load(Ordering::Acquire)
+    }
+
+    /// Whether the balancer should send callers here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping.load(Ordering::Acquire) && self.knowledge.table().is_some()
+    }
+
+    /// Counts an ordinary request of a service, which earns a part of a retry.
+    pub fn earn_retries(&self, service: &WorkName) {
+        self.retries().earn(service);
+    }
+
+    /// Spends a retry of a service; false when none is left.
+    #[must_use]
+    pub fn spend_retry(&self, service: &WorkName) -> bool {
+        self.retries().spend(service)
+    }
+
+    /// Divides the fleet's allowance of retries among `routers`.
+    pub fn size_retries(&self, routers: usize) {
+        let bounds = self.settings.load().bounds;
+        let opts = budget::Options {
+            earned_per_request: bounds.retry_ratio * RETRY_SAFETY,
+            max_saved: bounds.retry_slack * RETRY_SAFETY / routers.max(1) as f64,
+        };
+        self.retries().set_options(opts);
+    }
+
+    fn retries(&self) -> MutexGuard<'_, Budgets<WorkName>> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over changed settings; addresses stay as they were at the start.
+    pub fn reload(&self, settings: Settings) {
+        log::info!("settings reloaded");
+        self.settings.store(Arc::new(settings));
+    }
+
+    /// Serves until `stop` completes, then ends what is at work.
+    ///
+    /// # Errors
+    /// When an address cannot be bound.
+    pub async fn run(self: Arc<Self>, stop: impl Future<Output = ()>) -> anyhow::Result<()> {
+        let settings = self.settings.load_full();
+        let peers = Peers::start(Arc::clone(&self)).await?;
+        readiness::start(settings.listen.readiness, Arc::clone(&self)).await?;
+        let callers = callers::start(settings.listen.callers, Arc::clone(&self)).await?;
+        tokio::spawn(Arc::clone(&self).follow_knowledge());
+        tokio::spawn(Arc::clone(&self).sweep());
+        log::info!(vm:% = settings.vm, domain:% = settings.domain; "started");
+        stop.await;
+        log::info!(at_work = self.at_work(); "stopping");
+        let began = self.clock.monotonic();
+        let grace = settings.bounds.stop_grace();
+        self.is_stopping.store(true, Ordering::Release);
+        peers.announce_leaving();
+        tokio::time::sleep(LEAVE_ROTATION.min(grace / 2)).await;
+        callers.close();
+        let deadline = began + grace.saturating_sub(STOP_MARGIN);
+        while (self.at_work() > 0 || callers.connections() > 0) && self.clock.monotonic() < deadline
+        {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        log::info!(at_work = self.at_work(); "stopped");
+        Ok(())
+    }
+
+    /// Takes each change of configuration and targets into the account.
+    async fn follow_knowledge(self: Arc<Self>) {
+        let mut changes = self.knowledge.subscribe();
+        loop {
+            if let Some(table) = self.knowledge.table() {
+                let targets = self.knowledge.targets();
+                self.account().set_targets(&targets, &table);
+                let addresses: Vec<SocketAddr> = targets.iter().map(|t| t.address).collect();
+                self.targets.retain(|a| addresses.contains(a));
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn sweep(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            self.targets.retain(|_| true);
+            self.calls.retain(|_| true);
+        }
+    }
+}
--- /dev/null
+++ b/samphiresill-gateway/src/relay/answer.rs
@@ -0,0 +1,110 @@
+//! Answers to callers: a target's own, or a refusal of the gateway.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc;
+
+use crate::gateway::AtWork;
+
+/// Pieces of a stream that wait for a caller who reads slowly; the target is not read meanwhile.
+pub const MAX_PIECES: usize = 8;
+
+/// `Piece` is a piece of a streamed body, or the reason why it breaks off.
+pub type Piece = Result<Bytes, io::Error>;
+
+#[derive(Debug)]
+enum Content {
+    Whole(Option<Bytes>),
+    Stream(mpsc::Receiver<Piece>),
+}
+
+/// `Answer` is the body of an answer to a caller; the request counts as at work until it ends.
+#[derive(Debug)]
+pub struct Answer {
+    content: Content,
+    at_work: Option<Arc<AtWork>>,
+}
+
+impl Answer {
+    /// A body that is known whole.
+    #[must_use]
+    pub fn whole(bytes: Bytes) -> Self {
+        Self {
+            content: Content::Whole(Some(bytes).filter(|b| !b.is_empty())),
+            at_work: None,
+        }
+    }
+
+    /// A body that arrives in pieces; the end of the channel is its end.
+    #[must_use]
+    pub fn stream(pieces: mpsc::Receiver<Piece>) -> Self {
+        Self {
+            content: Content::Stream(pieces),
+            at_work: None,
+        }
+    }
+
+    /// Counts the request as at work until the body has ended.
+    pub fn hold(&mut self, at_work: Arc<AtWork>) {
+        self.at_work = Some(at_work);
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut self.content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Content::Stream(pieces) => pieces
+                .poll_recv(cx)
+                .map(|piece| piece.map(|p| p.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.content, Content::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Content::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer of the gateway itself.
+#[must_use]
+pub fn local(status: StatusCode, reason: &str) -> Response<Answer> {
+    let mut response = Response::new(Answer::whole(Bytes::from(format!("{reason}\n"))));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
+
+/// A refusal: the request has not run and will not run; the caller may return after `delay`.
+#[must_use]
+pub fn refusal(reason: &str, delay: Duration) -> Response<Answer> {
+    let mut response = local(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let seconds = format!("{:.2}", delay.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -0,0 +1,215 @@
+//! One attempt: a request sent to one target, until the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_ENCODING;
+use hyper::{Request, StatusCode, http};
+use samphiresill_attempt::failure::FailurePoint;
+use samphiresill_core::name::TargetName;
+use samphiresill_sched::fleet::account::Placement;
+
+use super::call::Call;
+use crate::connection::{self, Connection};
+use crate::dialect::Forward;
+use crate::gateway::Gateway;
+
+/// Time for a new connection to a target: several times the way there and back.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// `Running` is a run that is counted on its target until this is dropped.
+pub struct Running {
+    gateway: Arc<Gateway>,
+    /// Where it runs.
+    pub placement: Placement,
+}
+
+impl Running {
+    /// Ends the count of `placement` when dropped.
+    #[must_use]
+    pub fn new(gateway: Arc<Gateway>, placement: Placement) -> Self {
+        Self { gateway, placement }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.monotonic();
+        self.gateway.account().end(&self.placement, now);
+    }
+}
+
+/// `Failure` is why an attempt gave no answer to pass on.
+#[derive(Debug)]
+pub struct Failure {
+    /// Where it failed.
+    pub point: FailurePoint,
+    /// What was seen.
+    pub cause: String,
+    /// The target's own answer, when it is one that may be passed on.
+    pub answer: Option<(http::response::Parts, Bytes)>,
+}
+
+impl Failure {
+    /// A failure without an answer.
+    #[must_use]
+    pub fn new(point: FailurePoint, cause: impl Into<String>) -> Self {
+        Self {
+            point,
+            cause: cause.into(),
+            answer: None,
+        }
+    }
+}
+
+impl From<connection::Error> for Failure {
+    fn from(e: connection::Error) -> Self {
+        let point = match &e {
+            connection::Error::Connect(_) | connection::Error::Unsent => FailurePoint::Connect,
+            connection::Error::Broken(_) => FailurePoint::Sending,
+            connection::Error::Cut { .. } => FailurePoint::DuringAnswer,
+            connection::Error::Timeout => FailurePoint::Silence,
+        };
+        Self::new(point, e.to_string())
+    }
+}
+
+/// `Answering` is an answer whose head is known to belong to the request.
+pub struct Answering {
+    /// Head of the answer.
+    pub head: http::response::Parts,
+    /// Body, as it arrives.
+    pub body: Incoming,
+    /// The connection that it arrives on.
+    pub connection: Connection,
+}
+
+/// Sends a request to a target and waits at most `limit` for the head of its answer.
+///
+/// # Errors
+/// The point of failure. After a drop of the future, the connection is closed.
+pub async fn send(
+    gateway: &Gateway,
+    call: &Call,
+    placement: &Placement,
+    resume_after: Option<&str>,
+    limit: Duration,
+) -> Result<Answering, Failure> {
+    let exchange = exchange(gateway, call, placement, resume_after);
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(answer) => answer,
+        Err(_) => Err(Failure::new(FailurePoint::Silence, "no answer in time")),
+    }
+}
+
+async fn exchange(
+    gateway: &Gateway,
+    call: &Call,
+    placement: &Placement,
+    resume_after: Option<&str>,
+) -> Result<Answering, Failure> {
+    let mut tried_idle = false;
+    loop {
+        let acquired = if tried_idle {
+            Connection::open(placement.address, CONNECT_TIMEOUT).await
+        } else {
+            gateway
+                .targets
+                .acquire(placement.address, CONNECT_TIMEOUT)
+                .await
+        };
+        let mut connection = acquired?;
+        let req = request(gateway, call, &placement.target, resume_after);
+        match connection.send(req).await {
+            // An idle connection that had ended says nothing of the target.
+            Err(connection::Error::Unsent) if !tried_idle => tried_idle = true,
+            Err(e) => return Err(e.into()),
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                let answering = Answering {
+                    head,
+                    body,
+                    connection,
+                };
+                return check(gateway, call, placement, answering).await;
+            }
+        }
+    }
+}
+
+fn request(
+    gateway: &Gateway,
+    call: &Call,
+    target: &TargetName,
+    resume_after: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let forward = Forward {
+        target,
+        time_left: call.time_left(gateway.clock.monotonic()),
+        customer: call.customer.as_ref(),
+        resume_after,
+    };
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = call.uri.clone();
+    *req.headers_mut() = gateway.dialect.target_headers(&call.headers, &forward);
+    req
+}
+
+/// Tells answers that may go to the caller from those that may not.
+async fn check(
+    gateway: &Gateway,
+    call: &Call,
+    placement: &Placement,
+    answering: Answering,
+) -> Result<Answering, Failure> {
+    let Answering {
+        head,
+        body,
+        connection,
+    } = answering;
+    let said = gateway
+        .dialect
+        .answer_head(&call.request, head.status, &head.headers);
+    if said.is_unexecuted {
+        // Read to its end, so that the connection can be used again.
+        let rest = body.collect().await;
+        if rest.is_ok() {
+            gateway
+                .targets
+                .release(placement.address, connection, &head.headers);
+        }
+        let cause = format!("the target did not run it, status {}", head.status);
+        return Err(Failure::new(FailurePoint::NotExecuted, cause));
+    }
+    // The connection is dropped with a foreign answer: nothing on it can be trusted.
+    if !said.is_own {
+        return Err(Failure::new(
+            FailurePoint::Sending,
+            "an answer to another request",
+        ));
+    }
+    if head.status.is_success() && !said.is_sealed {
+        return Err(Failure::new(
+            FailurePoint::DuringAnswer,
+            "a success without proof of origin",
+        ));
+    }
+    if head.headers.contains_key(CONTENT_ENCODING) {
+        return Err(Failure::new(FailurePoint::DuringAnswer, "an encoded body"));
+    }
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Err(Failure::new(
+            FailurePoint::DuringAnswer,
+            "a switch of protocols",
+        ));
+    }
+    Ok(Answering {
+        head,
+        body,
+        connection,
+    })
+}
--- /dev/null
+++ b/samphiresill-gateway/src/relay/call.rs
@@ -0,0 +1,64 @@
+//! One request of a caller, read whole, with what the configuration says of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use samphiresill_attempt::failure::Nature;
+use samphiresill_core::name::{CustomerName, RequestId, WorkName};
+use samphiresill_core::routing::{Exchange, Route};
+use samphiresill_sched::fleet::work::Generation;
+
+/// `Call` is one request of a caller.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Identity that the caller gave it.
+    pub request: RequestId,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that serves it.
+    pub service: WorkName,
+    /// The customer; nothing on routes that need no key.
+    pub customer: Option<CustomerName>,
+    /// Present for requests to model engines.
+    pub generation: Option<Generation>,
+    /// Last event that the caller has, when it resumes a stream itself.
+    pub last_event: Option<Arc<str>>,
+    /// Method, as sent.
+    pub method: Method,
+    /// Path and query, as sent.
+    pub uri: Uri,
+    /// Headers, as sent.
+    pub headers: HeaderMap,
+    /// Body, as sent.
+    pub body: Bytes,
+    /// Monotonic time at which the request was read.
+    pub started: Duration,
+    /// Monotonic time at which it must have its final answer.
+    pub ends: Duration,
+}
+
+impl Call {
+    /// Time until the final answer is due.
+    #[must_use]
+    pub fn time_left(&self, now: Duration) -> Duration {
+        self.ends.saturating_sub(now)
+    }
+
+    /// What may be repeated, in the terms of the table of failures.
+    #[must_use]
+    pub fn nature(&self) -> Nature {
+        if self.route.exchange.is_repeatable() {
+            Nature::Idempotent
+        } else {
+            Nature::Once
+        }
+    }
+
+    /// Whether the answer is a stream of events.
+    #[must_use]
+    pub fn is_stream(&self) -> bool {
+        matches!(self.route.exchange, Exchange::Generation { .. })
+    }
+}
--- /dev/null
+++ b/samphiresill-gateway/src/relay/events.rs
@@ -0,0 +1,74 @@
+//! Boundaries of the events in a stream, so that only whole events are delivered.
+
+use bytes::{Bytes, BytesMut};
+
+/// Bytes of one event that are held at most.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// `Event` is one whole event of a stream, as received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes, with the empty line that ends it.
+    pub bytes: Bytes,
+    /// Its id, when it has one.
+    pub id: Option<String>,
+}
+
+/// `Splitter` cuts a stream into events.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buf: BytesMut,
+    scanned: usize,
+}
+
+impl Splitter {
+    /// Takes in bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = self.end_of_event()?;
+        let bytes = self.buf.split_to(end).freeze();
+        self.scanned = 0;
+        let id = id_of(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// Whether bytes of an unfinished event are held.
+    #[must_use]
+    pub fn has_rest(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Whether the unfinished event is longer than any event may be.
+    #[must_use]
+    pub fn is_overlong(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
+    /// Bytes up to and with the first empty line, with either kind of line end.
+    fn end_of_event(&mut self) -> Option<usize> {
+        let buf = &self.buf;
+        let from = self.scanned.saturating_sub(3);
+        for (index, byte) in buf.iter().enumerate().skip(from) {
+            if *byte != b'\n' || index == 0 {
+                continue;
+            }
+            let before = &buf[..index];
+            if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
+                return Some(index + 1);
+            }
+        }
+        self.scanned = buf.len();
+        None
+    }
+}
+
+fn id_of(event: &[u8]) -> Option<String> {
+    let mut lines = event.split(|b| *b == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    let value = value.strip_suffix(b"\r").unwrap_or(value);
+    Some(String::from_utf8_lossy(value).trim().to_owned())
+}
--- /dev/null
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -0,0 +1,134 @@
+//! The way of a request: reading and routing, attempts at targets, the answer.
+
+pub mod answer;
+pub mod attempt;
+pub mod call;
+pub mod events;
+pub mod forward;
+pub mod stream;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::{Request, Response, StatusCode};
+use samphiresill_core::name::CustomerName;
+use samphiresill_core::routing::{Exchange, Route, RoutingTable};
+
+use self::answer::Answer;
+use self::call::Call;
+use crate::dialect::CallerHead;
+use crate::gateway::Gateway;
+
+/// Pause that is asked for while no configuration is known.
+const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
+
+/// Serves one request of a caller.
+pub async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Answer> {
+    let at_work = Arc::new(gateway.begin_work());
+    let started = gateway.clock.monotonic();
+    let mut response = match read(&gateway, req, started).await {
+        Ok(call) => forward::forward(&gateway, call, &at_work).await,
+        Err(refused) => refused,
+    };
+    response.body_mut().hold(at_work);
+    response
+}
+
+/// Reads a request whole and finds its route and its customer.
+async fn read(
+    gateway: &Gateway,
+    req: Request<Incoming>,
+    started: Duration,
+) -> Result<Call, Response<Answer>> {
+    let Some(table) = gateway.knowledge.table() else {
+        return Err(answer::refusal(
+            "no configuration yet",
+            NO_CONFIGURATION_RETRY,
+        ));
+    };
+    let head = gateway.dialect.caller_head(req.headers());
+    let (route, customer) = admit(&table, &req, &head)?;
+    let Some(request) = head.request else {
+        return Err(answer::local(
+            StatusCode::BAD_REQUEST,
+            "the request has no id",
+        ));
+    };
+    let (parts, body) = req.into_parts();
+    let body = read_body(&table, &parts.headers, body).await?;
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let service = route.service(rand::random()).clone();
+    let is_generation = matches!(route.exchange, Exchange::Generation { .. });
+    let is_engine = table
+        .services
+        .get(&service)
+        .is_some_and(|s| s.engine.is_some());
+    Ok(Call {
+        request,
+        service,
+        customer,
+        generation: head
+            .generation
+            .or_else(|| is_generation.then(Default::default))
+            .filter(|_| is_engine),
+        last_event: head.last_event,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        started,
+        ends: started + patience,
+        route,
+    })
+}
+
+fn admit(
+    table: &RoutingTable,
+    req: &Request<Incoming>,
+    head: &CallerHead,
+) -> Result<(Arc<Route>, Option<CustomerName>), Response<Answer>> {
+    let host = req.headers().get(HOST).and_then(|h| h.to_str().ok());
+    let host = host.or_else(|| req.uri().host()).unwrap_or_default();
+    let Some(route) = table.route(host, req.uri().path()) else {
+        return Err(answer::local(StatusCode::NOT_FOUND, "no such route"));
+    };
+    if route.is_open {
+        return Ok((Arc::clone(route), None));
+    }
+    let customer = head.key.as_deref().and_then(|key| table.customer(key));
+    if customer.is_none() {
+        return Err(answer::local(StatusCode::UNAUTHORIZED, "unknown key"));
+    }
+    Ok((Arc::clone(route), customer.cloned()))
+}
+
+async fn read_body(
+    table: &RoutingTable,
+    headers: &hyper::HeaderMap,
+    body: Incoming,
+) -> Result<bytes::Bytes, Response<Answer>> {
+    let limit = table.limits.body_bytes;
+    let length = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|l| l.to_str().ok()?.parse::<usize>().ok());
+    let too_large = || answer::local(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    if length.is_some_and(|l| l > limit) {
+        return Err(too_large());
+    }
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout(table.limits.idle_timeout, reading).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(e)) => {
+            log::debug!(error:% = e; "body of a request broke off");
+            Err(answer::local(StatusCode::BAD_REQUEST, "the body broke off"))
+        }
+        Err(_) => Err(answer::local(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time",
+        )),
+    }
+}
--- /dev/null
+++ b/samphiresill-gateway/src/settings.rs
@@ -0,0 +1,104 @@
+//! The settings of a gateway: JSON with comments, checked whole before anything starts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use samphiresill_core::name::{DomainName, VmName};
+use serde::Deserialize;
+
+/// `Settings` are what a gateway has to be told before it starts.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Failure domain that the VM stands in.
+    pub domain: DomainName,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Where other gateways listen for their peers; may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Bounds on what the process may use.
+    pub limits: Limits,
+    /// Promises that the operators have fixed.
+    pub bounds: Bounds,
+    /// Log level: error, warn, info, debug or trace.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+/// `Listen` holds the addresses to listen on.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's checks.
+    pub readiness: SocketAddr,
+    /// For other gateways, over UDP and TCP.
+    pub peers: SocketAddr,
+    /// For the collection of metrics.
+    pub metrics: SocketAddr,
+}
+
+/// `Limits` bound what the process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Resident memory in MB.
+    pub memory_mb: u64,
+    /// Open file descriptors.
+    pub descriptors: usize,
+}
+
+/// `Bounds` are promises that the operators have fixed.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time from the signal to stop until the process is killed, in seconds.
+    pub stop_grace_s: f64,
+    /// Retries of all gateways together for each ordinary request.
+    pub retry_ratio: f64,
+    /// Retries of all gateways together in a window, beyond the ratio.
+    pub retry_slack: f64,
+}
+
+impl Bounds {
+    /// Time from the signal to stop until the process is killed.
+    #[must_use]
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_grace_s.max(0.0))
+    }
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+impl Settings {
+    /// Reads settings from JSON with comments.
+    ///
+    /// # Errors
+    /// When the text is not JSON, or a field is missing, unknown or of another type; the message
+    /// names the path of the field.
+    pub fn parse(text: &str) -> anyhow::Result<Self> {
+        let opts = jsonc_parser::ParseOptions::default();
+        let value: serde_json::Value = jsonc_parser::parse_to_serde_value(text, &opts)
+            .context("the settings are not JSON with comments")?;
+        let settings = serde_path_to_error::deserialize(value)
+            .map_err(|e| anyhow::anyhow!("{}: {}", e.path(), e.inner()))?;
+        Ok(settings)
+    }
+
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    /// As for [`Settings::parse`], and when the file cannot be read.
+    pub fn read(path: &str) -> anyhow::Result<Self> {
+        let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {path}"))?;
+        Self::parse(&text).with_context(|| format!("settings in {path}"))
+    }
+}
--- a/samphiresill-router/src/main.rs
+++ b/samphiresill-router/src/main.rs
@@ -1,4 +1,8 @@
 //! The router daemon: reads its settings, starts the router and waits for a signal.
+//!
+//! `samphiresill-router gateway` runs the gateway on the platform that hosts it.
+
+mod hosted;
 
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -20,6 +24,9 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.first().is_some_and(|a| a == "gateway") {
+        return hosted::main(&args[1..]);
+    }
     let mut spec = Options::new();
     spec.optflag("h", "help", "print this help");
     spec.optflag("V", "version", "print the version");
--- /dev/null
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -0,0 +1,109 @@
+//! Whether a request is taken now or refused at once.
+//!
+//! Answers the load pattern in which more work arrives than can begin in time. The wait before
+//! the best engine is the price of admission; how much of it a request may cause depends on what
+//! its customer has received of late and on whether it was refused before. The size of the
+//! request itself does not count, so that large ones are not starved.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+/// Part of its aim that a request may wait while its customer is below the fair level.
+const WAIT_BELOW_LEVEL: f64 = 0.6;
+/// The same, for a customer above the level.
+const WAIT_ABOVE_LEVEL: f64 = 0.2;
+/// Factor for a request that was refused before: it should not be refused twice.
+const RETURN_FACTOR: f64 = 1.6;
+/// Time constant with which a customer's service is forgotten, as in the shares.
+const SHARE_MEMORY_S: f64 = 2.0;
+/// Shortest pause that a refused caller is asked for.
+const MIN_RETRY: Duration = Duration::from_millis(150);
+/// Part of a caller's time that it is asked to wait at most; callers honour no more than a third.
+const MAX_RETRY_PART: f64 = 0.3;
+
+/// `Reason` is why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Reason {
+    /// No target of the service is known or usable.
+    #[display("no target")]
+    NoTarget,
+    /// All slots or all memory is taken.
+    #[display("no room")]
+    NoRoom,
+    /// The wait is longer than the request may cause.
+    #[display("wait too long")]
+    Wait,
+    /// The customer is above its fair share and work of others waits.
+    #[display("above share")]
+    AboveShare,
+}
+
+/// `Refusal` is a decision not to take a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When the caller should return.
+    pub retry_after: Duration,
+}
+
+/// `Candidate` is what a decision on one request depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Wait before the best engine.
+    pub wait: Duration,
+    /// Aim of the request.
+    pub aim: Duration,
+    /// Time that is left to the caller.
+    pub time_left: Duration,
+    /// Service of the customer against the fair level.
+    pub share_ratio: f64,
+    /// Whether the request was refused before.
+    pub is_return: bool,
+    /// Uniform over 0 to 1, to spread returns.
+    pub draw: f64,
+}
+
+/// Takes or refuses a request.
+///
+/// # Errors
+/// The refusal, with the time at which a return is likely to be taken.
+pub fn decide(candidate: &Candidate) -> Result<(), Refusal> {
+    let is_above = candidate.share_ratio > 1.0;
+    let part = if is_above {
+        WAIT_ABOVE_LEVEL
+    } else {
+        WAIT_BELOW_LEVEL
+    };
+    let factor = if candidate.is_return {
+        RETURN_FACTOR
+    } else {
+        1.0
+    };
+    let allowed = candidate.aim.mul_f64(part * factor);
+    if candidate.wait <= allowed {
+        return Ok(());
+    }
+    let excess = candidate.wait - allowed;
+    let share_wait = if is_above {
+        Duration::from_secs_f64(SHARE_MEMORY_S * candidate.share_ratio.ln())
+    } else {
+        Duration::ZERO
+    };
+    Err(Refusal {
+        reason: if is_above {
+            Reason::AboveShare
+        } else {
+            Reason::Wait
+        },
+        retry_after: retry_after(excess.max(share_wait), candidate.time_left, candidate.draw),
+    })
+}
+
+/// Spreads returns over half to one and a half times `delay`, within what callers honour.
+#[must_use]
+pub fn retry_after(delay: Duration, time_left: Duration, draw: f64) -> Duration {
+    let spread = delay.max(MIN_RETRY).mul_f64(0.5 + draw);
+    spread.min(time_left.mul_f64(MAX_RETRY_PART))
+}
--- /dev/null
+++ b/samphiresill-sched/src/fleet/health.rs
@@ -0,0 +1,86 @@
+//! Belief about a target, from its work.
+//!
+//! Answers the load patterns in which a target crashes, falls silent or fails part of its
+//! requests while its health check is good: work moves to other targets at once and returns step
+//! by step.
+
+use std::time::Duration;
+
+/// Pause after a connection that could not be made; doubles with each further one. A crashed
+/// process is started again within seconds.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause, so that a target that is back serves again within seconds.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+/// Pause after a share of failures above [`FAILING_SHARE`].
+const FAILING_PAUSE: Duration = Duration::from_millis(1_500);
+/// Share of failed requests above which a target is set aside; ordinary application errors stay
+/// well below it.
+const FAILING_SHARE: f64 = 0.35;
+/// Weight of the newest outcome in the share of failed requests.
+const NEWEST_WEIGHT: f64 = 0.15;
+/// Time without a byte, while requests wait for one, after which a target counts as stalled:
+/// several times the pause between events of a loaded engine.
+const STALL: Duration = Duration::from_millis(900);
+
+/// `Health` is what a router believes of one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    failing_share: f64,
+    unreachable: u32,
+    aside_until: Duration,
+    waiting_since: Option<Duration>,
+}
+
+impl Health {
+    /// Whether the target should get new requests.
+    #[must_use]
+    pub fn is_usable(&self, now: Duration) -> bool {
+        now >= self.aside_until && !self.is_stalled(now)
+    }
+
+    /// Whether requests wait for a byte for longer than a working target lets them.
+    #[must_use]
+    pub fn is_stalled(&self, now: Duration) -> bool {
+        self.waiting_since
+            .is_some_and(|since| now.saturating_sub(since) > STALL)
+    }
+
+    /// Notes a request that was sent.
+    pub fn sent(&mut self, now: Duration) {
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// Notes bytes from the target; `is_idle` when no request is left there.
+    pub fn progressed(&mut self, now: Duration, is_idle: bool) {
+        self.waiting_since = (!is_idle).then_some(now);
+        self.unreachable = 0;
+    }
+
+    /// Notes that no request of this router is left there.
+    pub fn idle(&mut self) {
+        self.waiting_since = None;
+    }
+
+    /// Notes a request that the target answered as it should.
+    pub fn succeeded(&mut self) {
+        self.failing_share -= self.failing_share * NEWEST_WEIGHT;
+        self.unreachable = 0;
+    }
+
+    /// Notes a request that the target failed after it was sent.
+    pub fn failed(&mut self, now: Duration) {
+        self.failing_share += (1.0 - self.failing_share) * NEWEST_WEIGHT;
+        if self.failing_share > FAILING_SHARE {
+            self.aside_until = self.aside_until.max(now + FAILING_PAUSE);
+            // The share falls back below the threshold, so that the next failures decide anew.
+            self.failing_share = FAILING_SHARE / 2.0;
+        }
+    }
+
+    /// Notes a connection that could not be made.
+    pub fn unreachable(&mut self, now: Duration) {
+        let pause = UNREACHABLE_PAUSE * (1 << self.unreachable.min(3));
+        self.unreachable += 1;
+        self.aside_until = self.aside_until.max(now + pause.min(MAX_PAUSE));
+    }
+}
--- /dev/null
+++ b/samphiresill-sched/src/fleet/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of placement and admission: each replays a load pattern.
--- a/samphiresill-sched/src/lib.rs
+++ b/samphiresill-sched/src/lib.rs
@@ -6,6 +6,7 @@
 //! reports what waits, and starts a request when it is granted a slot.
 
 pub mod estimate;
+pub mod fleet;
 pub mod ledger;
 pub mod limit;
 pub mod link;
