Govern the pace of streams at admission

An engine makes one token of each stream in a step; a step that also reads 2,048 prompt tokens takes ten times as long, and under load every step did: 23, 43 and 82 ms a token on fast, middling and slow engines, where 385 tokens have to come within 12 s.

--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -242,6 +242,7 @@
             expected_ms = running.placement.expected.as_millis() as u64,
             wait_ms = estimate.wait.as_millis() as u64, unread = estimate.unread_tokens,
             copied = estimate.copied_tokens, runs = estimate.runs, rate = estimate.rate,
+            pace_ms = estimate.pace_ms,
             first_ms = self.first_at.map_or(0, since), ms = since(now);
             "stream ended"
         );
--- a/samphiresill-sched/src/fleet/account.rs
+++ b/samphiresill-sched/src/fleet/account.rs
@@ -16,6 +16,7 @@
 use super::engine::{Engine, Estimate};
 use super::event::Event;
 use super::health::Health;
+use super::pace::PaceTarget;
 use super::plain::Plain;
 use super::shares::Shares;
 use super::work::{Ask, Generation, RunId};
@@ -26,6 +27,9 @@
 /// Cost of a running request to one more beside it, in milliseconds: each step grows by it for
 /// all the steps of an answer.
 const CROWDING_MS: f64 = 4.0;
+/// Cost of an engine at the pace beyond which many streams would not end in time, in
+/// milliseconds; in proportion above and below.
+const PACE_MS: f64 = 100.0;
 /// Cost of another failure domain, in milliseconds: the way there and back, and its bytes.
 const DISTANCE_MS: f64 = 4.0;
 /// Time for which a refused request is recognised when it returns.
@@ -81,6 +85,7 @@
     next_run: u32,
     targets: BTreeMap<TargetName, Target>,
     shares: Shares,
+    pace: PaceTarget,
     refused: BTreeMap<u64, Duration>,
     outbox: Vec<Event>,
 }
@@ -94,6 +99,7 @@
             next_run: 0,
             targets: BTreeMap::new(),
             shares: Shares::default(),
+            pace: PaceTarget::default(),
             refused: BTreeMap::new(),
             outbox: Vec::new(),
         }
@@ -257,6 +263,9 @@
         let is_return = self.is_return(fingerprint, now);
         let cost = generation.cost();
         let is_fresh = ask.tried.is_empty() && !is_return;
+        if is_fresh {
+            self.pace.observe(ask);
+        }
         if let Some(customer) = ask.customer.filter(|_| is_fresh) {
             self.shares.ask(customer, cost, now);
         }
@@ -291,6 +300,8 @@
             let share_ratio = ask.customer.map_or(0.0, |c| self.shares.ratio(c, now));
             let candidate = Candidate {
                 wait: estimate.wait,
+                pace_ms: estimate.pace_before_ms,
+                pace_target_ms: self.pace.ms(),
                 aim: ask.aim,
                 time_left: ask.time_left,
                 share_ratio,
@@ -329,7 +340,7 @@
                 continue;
             }
             let estimate = load.estimate(generation, kept_elsewhere, now);
-            let cost = engine_cost(&estimate) + distance(ask.domain, &target.entry);
+            let cost = engine_cost(&estimate, self.pace.ms()) + distance(ask.domain, &target.entry);
             if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, name, estimate));
             }
@@ -538,11 +549,12 @@
 }
 
 /// Cost of a request at an engine to everyone, in milliseconds of engine time.
-fn engine_cost(estimate: &Estimate) -> f64 {
+fn engine_cost(estimate: &Estimate, pace_target_ms: f64) -> f64 {
     let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
     ms(estimate.wait)
         + ms(estimate.reading) * (1.0 + REREAD_WEIGHT)
         + CROWDING_MS * estimate.runs as f64
+        + PACE_MS * estimate.pace_ms / pace_target_ms
 }
 
 fn distance(domain: &DomainName, entry: &TargetEntry) -> f64 {
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -9,12 +9,14 @@
 
 use derive_more::Display;
 
-/// Part of its aim that a request may wait while its customer is below the fair level.
-const WAIT_BELOW_LEVEL: f64 = 0.6;
-/// The same, for a customer above the level.
-const WAIT_ABOVE_LEVEL: f64 = 0.2;
+/// Part of its aim that a request may wait.
+const WAIT_PART: f64 = 0.6;
+/// Factor on wait and pace for a customer above the fair level.
+const ABOVE_LEVEL: f64 = 0.6;
+/// Time in which an engine that is loaded to twice the pace recovers.
+const PACE_RECOVERY: Duration = Duration::from_millis(1_500);
 /// Factor for a request that was refused before: it should not be refused twice.
-const RETURN_FACTOR: f64 = 1.6;
+const RETURN_FACTOR: f64 = 1.4;
 /// Time constant with which a customer's service is forgotten, as in the shares.
 const SHARE_MEMORY_S: f64 = 2.0;
 /// Shortest pause that a refused caller is asked for.
@@ -53,6 +55,10 @@
 pub struct Candidate {
     /// Wait before the best engine.
     pub wait: Duration,
+    /// Time for a token of a stream at the best engine, in milliseconds.
+    pub pace_ms: f64,
+    /// Time for a token beyond which many streams would not end in time, in milliseconds.
+    pub pace_target_ms: f64,
     /// Aim of the request.
     pub aim: Duration,
     /// Time that is left to the caller.
@@ -71,21 +77,20 @@
 /// The refusal, with the time at which a return is likely to be taken.
 pub fn decide(candidate: &Candidate) -> Result<(), Refusal> {
     let is_above = candidate.share_ratio > 1.0;
-    let part = if is_above {
-        WAIT_ABOVE_LEVEL
-    } else {
-        WAIT_BELOW_LEVEL
-    };
+    let part = if is_above { ABOVE_LEVEL } else { 1.0 };
     let factor = if candidate.is_return {
-        RETURN_FACTOR
+        part * RETURN_FACTOR
     } else {
-        1.0
+        part
     };
-    let allowed = candidate.aim.mul_f64(part * factor);
-    if candidate.wait <= allowed {
+    let allowed = candidate.aim.mul_f64(WAIT_PART * factor);
+    let pace = candidate.pace_ms / (candidate.pace_target_ms * factor);
+    if candidate.wait <= allowed && pace <= 1.0 {
         return Ok(());
     }
-    let excess = candidate.wait - allowed;
+    let wait_excess = candidate.wait.saturating_sub(allowed);
+    let pace_excess = PACE_RECOVERY.mul_f64((pace - 1.0).clamp(0.0, 1.0));
+    let excess = wait_excess.max(pace_excess);
     let share_wait = if is_above {
         Duration::from_secs_f64(SHARE_MEMORY_S * candidate.share_ratio.ln())
     } else {
--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -3,6 +3,11 @@
 //! Answers the load pattern in which long prompts delay everything behind them: an engine reads
 //! prompts in order of arrival, so the wait follows from the prompt tokens ahead and the rate at
 //! which it reads. The rate is learnt from the times of first tokens.
+//!
+//! Answers also the load pattern in which reading without a pause starves the streams that run:
+//! an engine makes one token of each stream in a step, and a step that also reads a piece of a
+//! prompt takes ten times as long. The pace of the streams follows from the part of the time that
+//! is spent reading.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,6 +31,18 @@
 const LATENCY_TOKENS: u32 = 1_050;
 /// Time to begin a copy between engines.
 const COPY_SETUP: Duration = Duration::from_millis(3);
+/// Prompt tokens that an engine reads in one step.
+const CHUNK_TOKENS: f64 = 2_048.0;
+/// Time of a step without reading, as the prompt tokens that the engine would read in it: the
+/// time varies with the speed of the engine, the tokens do not (from idle engines).
+const STEP_TOKENS: f64 = 125.0;
+/// The same for each stream that runs in the step.
+const STEP_TOKENS_PER_RUN: f64 = 6.0;
+/// The same for each token of memory that the streams of the step read again.
+const STEP_TOKENS_PER_MEMORY: f64 = 0.000_185;
+/// Time over which the reading of an engine is averaged, in milliseconds: long against one
+/// prompt, short against the time that a stream has.
+const LOAD_MEMORY_MS: f64 = 2_000.0;
 /// Part of an engine's memory that requests are placed into; beyond it running requests risk
 /// preemption as their output grows.
 const MEMORY_FILL: f64 = 0.9;
@@ -50,6 +67,9 @@
     read_tokens: f64,
     memory_tokens: u64,
     unread_tokens: u64,
+    /// Prompt tokens to read of late, faded out with age, as of `load_at`.
+    load_tokens: f64,
+    load_at: Duration,
     /// When the engine began to read the prompt that is at the head of its queue.
     head_since: Duration,
     /// Whether that prompt found the queue empty, so that its time has the latency in it.
@@ -75,6 +95,10 @@
     pub runs: usize,
     /// Learnt rate of reading, in prompt tokens a millisecond.
     pub rate: f64,
+    /// Expected time for each token that is generated there without this request, in milliseconds.
+    pub pace_before_ms: f64,
+    /// The same with this request.
+    pub pace_ms: f64,
 }
 
 impl Estimate {
@@ -97,6 +121,8 @@
             read_tokens: FIRST_RATE * FIRST_RATE_MS,
             memory_tokens: 0,
             unread_tokens: 0,
+            load_tokens: 0.0,
+            load_at: Duration::ZERO,
             head_since: Duration::ZERO,
             is_head_first: true,
         }
@@ -163,6 +189,8 @@
             latency: self.time_for(u64::from(LATENCY_TOKENS)),
             runs: self.runs.len(),
             rate: self.rate(),
+            pace_before_ms: self.pace_ms(&Generation::default(), 0, now),
+            pace_ms: self.pace_ms(generation, unread_tokens, now),
         }
     }
 
@@ -181,6 +209,8 @@
         if self.runs.insert(run, entry).is_none() {
             self.memory_tokens += memory_tokens;
             self.unread_tokens += u64::from(unread);
+            self.load_tokens = self.load_tokens(now) + f64::from(unread);
+            self.load_at = now;
         }
         let spare = u64::from(self.spec.memory_tokens).saturating_sub(self.memory_tokens);
         self.prefixes.touch(&generation.parts, spare, now);
@@ -242,6 +272,25 @@
         self.time_for(self.unread_tokens).saturating_sub(done)
     }
 
+    fn load_tokens(&self, now: Duration) -> f64 {
+        let age_ms = now.saturating_sub(self.load_at).as_secs_f64() * 1_000.0;
+        self.load_tokens * (-age_ms / LOAD_MEMORY_MS).exp()
+    }
+
+    /// Expected time for a token of a stream if a request is added that reads `unread` tokens.
+    fn pace_ms(&self, generation: &Generation, unread: u32, now: Duration) -> f64 {
+        let runs = self.runs.len() as f64 + 1.0;
+        let memory = (self.memory_tokens + generation.memory_tokens()) as f64;
+        let step = STEP_TOKENS + STEP_TOKENS_PER_RUN * runs + STEP_TOKENS_PER_MEMORY * memory;
+        let rate = self.rate();
+        let reading_step_ms = CHUNK_TOKENS / rate;
+        let plain_step_ms = reading_step_ms * step / (CHUNK_TOKENS + step);
+        let load = self.load_tokens(now) + f64::from(unread);
+        let reading_part = (load / (rate * LOAD_MEMORY_MS)).min(1.0);
+        let steps_per_ms = reading_part / reading_step_ms + (1.0 - reading_part) / plain_step_ms;
+        1.0 / steps_per_ms
+    }
+
     fn copy_time(&self, tokens: u32) -> Duration {
         if tokens == 0 {
             return Duration::ZERO;
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! Load patterns, and the module that answers each:
 //! - long prompts queue before one engine while others idle: [`engine`], [`account`];
+//! - long answers are begun and not ended in time: [`pace`];
 //! - the same prompt parts are read again by every engine: [`prefix`];
 //! - one customer sends many times its usual: [`shares`];
 //! - more work arrives than can start in time: [`admission`];
@@ -16,6 +17,7 @@
 pub mod engine;
 pub mod event;
 pub mod health;
+pub mod pace;
 pub mod plain;
 pub mod prefix;
 pub mod shares;
