Let a few routers keep the account and follow the store for a large fleet

Membership is samphiresill-member over datagrams. Ruled out on the way: heartbeats that were due only when no event had been sent kept the watchers unheard under load, and all nodes began to follow the store after 3 s.

--- a/samphiresill-experiment/src/capacity.rs
+++ b/samphiresill-experiment/src/capacity.rs
@@ -288,6 +288,7 @@
         vm: format!("router-{n:03}").into(),
         domain: format!("region-{}-domain-{}", n % 4, n % 10).into(),
         address: ([10, 0, 0, 1], 8_000 + n as u16).into(),
+        strength: 0,
         incarnation: Incarnation {
             start_ms: 1_796_000_000_000,
             refutations: 0,
--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -47,6 +47,8 @@
     pub calls: Pool,
     /// Failure domain of the VM.
     pub domain: DomainName,
+    /// Other gateways.
+    pub peers: Arc<Peers>,
     account: Mutex<Account>,
     retries: Mutex<Budgets<WorkName>>,
     is_stopping: AtomicBool,
@@ -71,10 +73,12 @@
         clock: Arc<dyn Clock>,
         dialect: Arc<dyn Dialect>,
         knowledge: Arc<Knowledge>,
+        peers: Arc<Peers>,
         origin: u64,
     ) -> Arc<Self> {
         let gateway = Self {
             domain: settings.domain.clone(),
+            peers,
             settings: ArcSwap::from_pointee(settings),
             targets: Pool::new(Arc::clone(&clock)),
             calls: Pool::new(Arc::clone(&clock)),
@@ -151,7 +155,7 @@
     /// When an address cannot be bound.
     pub async fn run(self: Arc<Self>, stop: impl Future<Output = ()>) -> anyhow::Result<()> {
         let settings = self.settings.load_full();
-        let peers = Peers::start(Arc::clone(&self)).await?;
+        self.peers.start(&self).await?;
         readiness::start(settings.listen.readiness, Arc::clone(&self)).await?;
         let callers = callers::start(settings.listen.callers, Arc::clone(&self)).await?;
         tokio::spawn(Arc::clone(&self).follow_knowledge());
@@ -162,7 +166,7 @@
         let began = self.clock.monotonic();
         let grace = settings.bounds.stop_grace();
         self.is_stopping.store(true, Ordering::Release);
-        peers.announce_leaving();
+        self.peers.announce_leaving();
         tokio::time::sleep(LEAVE_ROTATION.min(grace / 2)).await;
         callers.close();
         let deadline = began + grace.saturating_sub(STOP_MARGIN);
--- a/samphiresill-gateway/src/knowledge.rs
+++ b/samphiresill-gateway/src/knowledge.rs
@@ -13,12 +13,15 @@
 
 use crate::dialect::Dialect;
 
+/// Bytes of news that are told at once; larger ones are fetched.
+const MAX_NEWS_BYTES: usize = 1_100;
+
 /// `Versions` tell how new a router's knowledge is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
     /// Revision of the configuration; 0 while none is known.
     pub revision: u64,
-    /// Version of the newest entry seen in the directory of targets.
+    /// Version of the newest change in the directory of targets.
     pub directory: u64,
 }
 
@@ -33,10 +36,41 @@
     pub version: u64,
 }
 
+/// `News` are the newest changes of the directory, for gateways that know all before them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct News {
+    /// Version before the changes.
+    pub base: u64,
+    /// Version with the changes.
+    pub version: u64,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
 #[derive(Debug, Default)]
 struct Directory {
     version: u64,
     rows: BTreeMap<String, Change>,
+    news: Option<News>,
+}
+
+impl Directory {
+    /// Takes changes, each unless a newer one is known for its target.
+    fn apply(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            let known = self.rows.get(&change.name).map_or(0, |c| c.version);
+            if change.version > known {
+                self.rows.insert(change.name.clone(), change);
+            }
+        }
+    }
+}
+
+/// `Watching` says whether this gateway follows the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Watching {
+    is_wanted: bool,
+    is_answered: bool,
 }
 
 /// `Knowledge` is shared by the request path and whatever feeds it.
@@ -46,6 +80,7 @@
     document: Mutex<Bytes>,
     directory: Mutex<Directory>,
     changed: watch::Sender<()>,
+    watching: watch::Sender<Watching>,
 }
 
 impl Knowledge {
@@ -58,9 +93,45 @@
             document: Mutex::default(),
             directory: Mutex::default(),
             changed: watch::channel(()).0,
+            watching: watch::channel(Watching::default()).0,
+        }
+    }
+
+    /// Says whether this gateway should follow the store; the others tell it otherwise.
+    pub fn set_watching(&self, is_wanted: bool) {
+        let is_new = self.watching.send_if_modified(|w| {
+            let is_new = w.is_wanted != is_wanted;
+            w.is_wanted = is_wanted;
+            w.is_answered &= is_wanted;
+            is_new
+        });
+        if is_new {
+            log::info!(is_wanted; "following the store");
         }
     }
 
+    /// Says whether the store answers.
+    pub fn report_store(&self, is_answered: bool) {
+        self.watching.send_if_modified(|w| {
+            let is_new = w.is_answered != is_answered;
+            w.is_answered = is_answered && w.is_wanted;
+            is_new
+        });
+    }
+
+    /// Whether this gateway follows the store, and the store answers it.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        self.watching.borrow().is_answered
+    }
+
+    /// Waits until this gateway should follow the store, or should not.
+    pub async fn watching_becomes(&self, is_wanted: bool) {
+        let mut watching = self.watching.subscribe();
+        // The sender lives as long as `self`.
+        let _ = watching.wait_for(|w| w.is_wanted == is_wanted).await;
+    }
+
     /// The configuration in force; nothing while none is known.
     #[must_use]
     pub fn table(&self) -> Option<Arc<RoutingTable>> {
@@ -103,16 +174,18 @@
         self.changed.send_replace(());
     }
 
-    /// Takes changes of the directory, each unless a newer one is known for its target.
-    pub fn apply_changes(&self, changes: Vec<Change>, version: u64) {
+    /// Takes changes of the directory that the store tells.
+    pub fn apply_changes(&self, changes: Vec<Change>) {
         let mut directory = lock(&self.directory);
-        for change in changes {
-            let known = directory.rows.get(&change.name).map_or(0, |c| c.version);
-            if change.version > known {
-                directory.rows.insert(change.name.clone(), change);
-            }
-        }
-        directory.version = directory.version.max(version);
+        let base = directory.version;
+        let newest = changes.iter().map(|c| c.version).max().unwrap_or(0);
+        directory.apply(changes.clone());
+        directory.version = base.max(newest);
+        directory.news = Some(News {
+            base,
+            version: directory.version,
+            changes,
+        });
         drop(directory);
         self.changed.send_replace(());
     }
@@ -120,19 +193,41 @@
     /// Takes the whole directory as it stood at `version`; what is not in it is gone.
     pub fn replace_directory(&self, changes: Vec<Change>, version: u64) {
         let mut directory = lock(&self.directory);
-        if version < directory.version {
-            return;
-        }
+        let newest = changes.iter().map(|c| c.version).max().unwrap_or(0);
         let listed = changes.into_iter().map(|c| (c.name.clone(), c));
         let newer = std::mem::take(&mut directory.rows)
             .into_iter()
             .filter(|(_, c)| c.version > version);
         directory.rows = listed.chain(newer).collect();
-        directory.version = version;
+        // Gateways compare the versions of rows: that of the store rises without a change too.
+        directory.version = directory.version.max(newest);
+        directory.news = None;
         drop(directory);
         self.changed.send_replace(());
     }
 
+    /// Takes the newest changes from a peer, if this gateway knows all before them.
+    pub fn take_news(&self, news: News) {
+        let mut directory = lock(&self.directory);
+        let is_next = directory.version >= news.base && directory.version < news.version;
+        if !is_next {
+            return;
+        }
+        directory.apply(news.changes.clone());
+        directory.version = news.version;
+        directory.news = Some(news);
+        drop(directory);
+        self.changed.send_replace(());
+    }
+
+    /// The newest changes of the directory, if they are known one by one.
+    #[must_use]
+    pub fn news(&self) -> Option<News> {
+        let directory = lock(&self.directory);
+        let size = |n: &News| n.changes.iter().map(change_bytes).sum::<usize>();
+        directory.news.clone().filter(|n| size(n) <= MAX_NEWS_BYTES)
+    }
+
     /// The usable entries of the directory.
     #[must_use]
     pub fn targets(&self) -> Vec<TargetEntry> {
@@ -167,6 +262,10 @@
     }
 }
 
+fn change_bytes(change: &Change) -> usize {
+    change.name.len() + change.document.as_ref().map_or(0, Bytes::len) + 16
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode, http};
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_sched::fleet::account::Placement;
+use samphiresill_sched::fleet::event::RunResult;
 
 use super::call::Call;
 use crate::connection::{self, Connection};
@@ -24,20 +25,31 @@
     gateway: Arc<Gateway>,
     /// Where it runs.
     pub placement: Placement,
+    result: RunResult,
 }
 
 impl Running {
     /// Ends the count of `placement` when dropped.
     #[must_use]
     pub fn new(gateway: Arc<Gateway>, placement: Placement) -> Self {
-        Self { gateway, placement }
+        Self {
+            gateway,
+            placement,
+            result: RunResult::Unknown,
+        }
+    }
+
+    /// Says what the run showed of its target.
+    pub fn show(&mut self, result: RunResult) {
+        self.result = result;
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         let now = self.gateway.clock.monotonic();
-        self.gateway.account().end(&self.placement, now);
+        let mut account = self.gateway.account();
+        account.end(&self.placement, self.result, now);
     }
 }
 
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -11,6 +11,7 @@
 use samphiresill_core::name::TargetName;
 use samphiresill_core::outcome;
 use samphiresill_sched::fleet::admission::Refusal;
+use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::work::Ask;
 
 use super::answer::{self, Answer};
@@ -88,7 +89,7 @@
                     has_run: self.runs > 0,
                 });
             }
-            let running = self.place(time_left)?;
+            let mut running = self.place(time_left).await?;
             let limit = self.limit(time_left, running.placement.expected);
             let sent = attempt::send(
                 &self.gateway,
@@ -99,7 +100,7 @@
             );
             match sent.await {
                 Ok(answering) => return Ok((running, answering)),
-                Err(failure) => self.after(&running, failure)?,
+                Err(failure) => self.after(&mut running, failure)?,
             }
         }
     }
@@ -108,10 +109,10 @@
     ///
     /// # Errors
     /// The end of all attempts.
-    pub fn after(&mut self, running: &Running, failure: Failure) -> Result<(), End> {
+    pub fn after(&mut self, running: &mut Running, failure: Failure) -> Result<(), End> {
         let now = self.gateway.clock.monotonic();
-        let target = &running.placement.target;
-        self.note(target, &failure, now);
+        let target = running.placement.target.clone();
+        running.show(result_of(&failure));
         if failure.point.may_have_run() || failure.answer.is_some() {
             self.runs += 1;
         }
@@ -130,7 +131,7 @@
         );
         match verdict {
             Verdict::Retry => {
-                self.tried.push(target.clone());
+                self.tried.push(target);
                 Ok(())
             }
             Verdict::PassOn => Err(failure.answer.map_or(End::Lost(failure.point), |answer| {
@@ -154,7 +155,7 @@
             && self.tried.len() + 1 < MAX_SENDS
     }
 
-    fn place(&self, time_left: Duration) -> Result<Running, End> {
+    async fn place(&self, time_left: Duration) -> Result<Running, End> {
         let ask = Ask {
             customer: self.call.customer.as_ref(),
             service: &self.call.service,
@@ -165,9 +166,7 @@
             tried: &self.tried,
             has_run: self.runs > 0,
         };
-        let now = self.gateway.clock.monotonic();
-        let placed = self.gateway.account().place(&ask, rand::random(), now);
-        match placed {
+        match self.gateway.peers.place(&self.gateway, &ask).await {
             Ok(placement) => Ok(Running::new(Arc::clone(&self.gateway), placement)),
             Err(_) if self.runs > 0 => Err(End::Lost(FailurePoint::Connect)),
             Err(refusal) => Err(End::Refused(refusal)),
@@ -205,14 +204,6 @@
             }
         }
     }
-
-    fn note(&self, target: &TargetName, failure: &Failure, now: Duration) {
-        let mut account = self.gateway.account();
-        match failure.point {
-            FailurePoint::Connect => account.unreachable(target, now),
-            _ => account.failed(target, now),
-        }
-    }
 }
 
 /// Serves a request that was read: attempts, then the answer.
@@ -225,17 +216,17 @@
     let call = Arc::new(call);
     let mut attempts = Attempts::new(Arc::clone(gateway), Arc::clone(&call));
     loop {
-        let (running, answering) = match attempts.next(call.last_event.as_deref()).await {
+        let (mut running, answering) = match attempts.next(call.last_event.as_deref()).await {
             Ok(answered) => answered,
             Err(end) => return ended(gateway, &call, end),
         };
         if call.is_stream() && answering.head.status.is_success() {
             return stream::start(attempts, running, answering, Arc::clone(at_work));
         }
-        match whole(gateway, &call, &running, &attempts, answering).await {
+        match whole(gateway, &call, &mut running, &attempts, answering).await {
             Ok(response) => return response,
             Err(failure) => {
-                if let Err(end) = attempts.after(&running, failure) {
+                if let Err(end) = attempts.after(&mut running, failure) {
                     return ended(gateway, &call, end);
                 }
             }
@@ -247,7 +238,7 @@
 async fn whole(
     gateway: &Arc<Gateway>,
     call: &Call,
-    running: &Running,
+    running: &mut Running,
     attempts: &Attempts,
     answering: Answering,
 ) -> Result<Response<Answer>, Failure> {
@@ -272,19 +263,30 @@
     }
     let now = gateway.clock.monotonic();
     let took = now.saturating_sub(call.started);
-    if head.status.is_server_error() {
-        gateway.account().failed(&placement.target, now);
+    let target = placement.target.clone();
+    running.show(if head.status.is_server_error() {
+        RunResult::Failed
     } else {
-        gateway.account().succeeded(&placement.target, took);
-    }
+        RunResult::Answered {
+            ms: took.as_millis() as u32,
+        }
+    });
     log::info!(
-        request:% = call.request, target:% = placement.target, status = head.status.as_u16(),
+        request:% = call.request, target:%, status = head.status.as_u16(),
         ms = took.as_millis() as u64;
         "answered"
     );
     Ok(pass_on(head, Answer::whole(bytes)))
 }
 
+/// What a failed attempt shows of its target.
+fn result_of(failure: &Failure) -> RunResult {
+    match failure.point {
+        FailurePoint::Connect => RunResult::Unreachable,
+        _ => RunResult::Failed,
+    }
+}
+
 /// The answer of a target, without what concerns only the connection that it came on.
 #[must_use]
 pub fn pass_on(head: http::response::Parts, body: Answer) -> Response<Answer> {
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_core::routing::Exchange;
+use samphiresill_sched::fleet::event::RunResult;
 use tokio::sync::mpsc;
 
 use super::answer::{self, Answer, Piece};
@@ -75,15 +76,15 @@
     async fn run(mut self, mut attempts: Attempts, running: Running, answering: Answering) {
         let mut current = (running, answering);
         loop {
-            let (running, answering) = current;
-            let failure = match self.relay(&running, answering).await {
+            let (mut running, answering) = current;
+            let failure = match self.relay(&mut running, answering).await {
                 Relayed::Complete => return self.log(&running, "complete"),
                 Relayed::CallerGone => return self.log(&running, "caller gone"),
                 Relayed::TimeUp => return self.break_off(&running, "time is up").await,
                 Relayed::Broken(failure) => failure,
             };
             let cause = failure.cause.clone();
-            if attempts.after(&running, failure).is_err() {
+            if attempts.after(&mut running, failure).is_err() {
                 return self.break_off(&running, &cause).await;
             }
             let resume_after = self.last_id.clone();
@@ -105,7 +106,7 @@
     }
 
     /// Relays one run until it ends in some way.
-    async fn relay(&mut self, running: &Running, answering: Answering) -> Relayed {
+    async fn relay(&mut self, running: &mut Running, answering: Answering) -> Relayed {
         let Answering {
             head,
             mut body,
@@ -147,9 +148,9 @@
             .clock
             .monotonic()
             .saturating_sub(self.call.started);
-        self.gateway
-            .account()
-            .succeeded(&running.placement.target, took);
+        running.show(RunResult::Answered {
+            ms: took.as_millis() as u32,
+        });
         Relayed::Complete
     }
 
--- a/samphiresill-gateway/src/settings.rs
+++ b/samphiresill-gateway/src/settings.rs
@@ -52,6 +52,8 @@
     pub memory_mb: u64,
     /// Open file descriptors.
     pub descriptors: usize,
+    /// Processing power in cores.
+    pub cores: f64,
 }
 
 /// `Bounds` are promises that the operators have fixed.
@@ -66,6 +68,14 @@
     pub retry_slack: f64,
 }
 
+impl Limits {
+    /// Processing power in thousandths of a core.
+    #[must_use]
+    pub fn millicores(&self) -> u32 {
+        (self.cores.max(0.0) * 1_000.0) as u32
+    }
+}
+
 impl Bounds {
     /// Time from the signal to stop until the process is killed.
     #[must_use]
--- a/samphiresill-member/src/lib.rs
+++ b/samphiresill-member/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod member;
 pub mod membership;
 pub mod news;
+pub mod roles;
 
 #[cfg(test)]
 mod tests;
--- a/samphiresill-member/src/member.rs
+++ b/samphiresill-member/src/member.rs
@@ -41,6 +41,8 @@
     pub domain: DomainName,
     /// Where it hears other routers.
     pub address: SocketAddr,
+    /// Processing power of its VM, in thousandths of a core; 0 while unknown.
+    pub strength: u32,
     /// The incarnation that the knowledge is about.
     pub incarnation: Incarnation,
     /// What is believed of it.
--- /dev/null
+++ b/samphiresill-member/src/roles.rs
@@ -0,0 +1,86 @@
+//! Which routers do which duty, as a function of the view of the members.
+//!
+//! Routers with the same view come to the same roles; with different views, duties are done more
+//! than once for a while, which each duty bears.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use samphiresill_core::name::{DomainName, VmName};
+
+use crate::member::Member;
+
+/// `Roles` are the duties of the members.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Roles {
+    /// Routers that keep the account of the fleet's load and place requests, in order of rank.
+    pub schedulers: Vec<Member>,
+    /// Routers that follow the store for all others; the first of the schedulers.
+    pub watchers: Vec<Member>,
+}
+
+impl Roles {
+    /// Gives duties to the strongest routers, spread evenly over the failure domains.
+    #[must_use]
+    pub fn new<'a>(
+        members: impl Iterator<Item = &'a Member>,
+        max_schedulers: usize,
+        max_watchers: usize,
+    ) -> Self {
+        let mut domains: BTreeMap<&DomainName, Vec<&Member>> = BTreeMap::new();
+        for member in members.filter(|m| m.is_usable()) {
+            domains.entry(&member.domain).or_default().push(member);
+        }
+        for members in domains.values_mut() {
+            // Strongest last, so that it is taken first.
+            members.sort_by_key(|m| (m.strength, std::cmp::Reverse(m.address)));
+        }
+        let mut schedulers = Vec::new();
+        while schedulers.len() < max_schedulers {
+            let before = schedulers.len();
+            for members in domains.values_mut() {
+                schedulers.extend(members.pop().cloned());
+            }
+            if schedulers.len() == before {
+                break;
+            }
+        }
+        schedulers.truncate(max_schedulers);
+        let watchers = schedulers.iter().take(max_watchers).cloned().collect();
+        Self {
+            schedulers,
+            watchers,
+        }
+    }
+
+    /// Whether a router is a scheduler.
+    #[must_use]
+    pub fn is_scheduler(&self, vm: &VmName) -> bool {
+        self.schedulers.iter().any(|m| m.vm == *vm)
+    }
+
+    /// Whether a router is a watcher.
+    #[must_use]
+    pub fn is_watcher(&self, vm: &VmName) -> bool {
+        self.watchers.iter().any(|m| m.vm == *vm)
+    }
+
+    /// The schedulers in the order in which a router should ask them: those of its failure domain
+    /// first, and routers spread evenly among them.
+    #[must_use]
+    pub fn order_for(&self, own: &Member) -> Vec<Member> {
+        let weight = |m: &Member| {
+            let text = format!("{} {}", own.vm, m.vm);
+            samphiresill_core::name::KeyHash::of_key(&text)
+        };
+        let mut order = self.schedulers.clone();
+        order.sort_by_cached_key(|m| (m.domain != own.domain, weight(m)));
+        order
+    }
+
+    /// Addresses of the schedulers other than `own`.
+    #[must_use]
+    pub fn other_schedulers(&self, own: &VmName) -> BTreeSet<std::net::SocketAddr> {
+        let others = self.schedulers.iter().filter(|m| m.vm != *own);
+        others.map(|m| m.address).collect()
+    }
+}
--- a/samphiresill-member/src/tests.rs
+++ b/samphiresill-member/src/tests.rs
@@ -28,6 +28,7 @@
         vm: format!("r{number}").into(),
         domain: format!("d{}", number % 3).into(),
         address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        strength: 0,
         incarnation: Incarnation {
             start_ms,
             refutations: 0,
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -13,6 +13,7 @@
 use samphiresill_core::clock::{Clock, SystemClock};
 use samphiresill_gateway::gateway::Gateway;
 use samphiresill_gateway::knowledge::Knowledge;
+use samphiresill_gateway::peers::Peers;
 use samphiresill_gateway::settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -79,7 +80,8 @@
     let watch = Watch::new(store, Arc::clone(&knowledge), Arc::clone(&clock));
     tokio::spawn(watch.run());
     let origin = origin(&settings, clock.as_ref());
-    let gateway = Gateway::new(settings, clock, dialect, knowledge, origin);
+    let peers = Arc::new(Peers::bind(settings.listen.peers).await?);
+    let gateway = Gateway::new(settings, clock, dialect, knowledge, peers, origin);
     tokio::spawn(follow_settings(Arc::clone(&gateway), path));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/samphiresill-sched/src/fleet/account/mod.rs
@@ -0,0 +1,324 @@
+//! One router's account of the whole fleet's load.
+//!
+//! Answers the load pattern in which several routers send to the same targets at once: each
+//! counts what all of them have sent, as far as it has heard.
+//!
+//! Invariant: a run is counted on one target at most, and only until its end is known.
+
+pub mod place;
+mod target;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use samphiresill_core::name::TargetName;
+use samphiresill_core::routing::{RoutingTable, TargetEntry};
+use serde::{Deserialize, Serialize};
+
+use self::target::{Load, Target};
+use super::engine::Estimate;
+use super::event::{Event, RunResult};
+use super::pace::PaceTarget;
+use super::shares::Shares;
+use super::work::{Ask, RunId};
+
+/// Time for which a refused request is recognised when it returns.
+const RETURN_MEMORY: Duration = Duration::from_secs(10);
+/// Refused requests that are remembered at most.
+const MAX_REFUSED: usize = 4_096;
+/// Age below which a run is not missed in its origin's list: its placement may be on the way.
+const LIST_LAG: Duration = Duration::from_millis(600);
+/// Age at which a run is taken as ended; longer than any route lets one last.
+const MAX_RUN_AGE: Duration = Duration::from_secs(40);
+
+/// `Placement` is the decision to send a request to a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The target.
+    pub target: TargetName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Identifies the run; it is counted from now on.
+    pub run: RunId,
+    /// Expected time to the first byte.
+    pub expected: Duration,
+    /// An engine that keeps more of the prompt, to copy it from.
+    pub copy_from: Option<SocketAddr>,
+    /// What the decision was based on, for engines.
+    pub estimate: Option<Estimate>,
+}
+
+/// `Account` is what one router knows of the fleet's load.
+#[derive(Debug)]
+pub struct Account {
+    origin: u64,
+    next_run: u32,
+    targets: BTreeMap<TargetName, Target>,
+    shares: Shares,
+    pace: PaceTarget,
+    refused: BTreeMap<u64, Duration>,
+    outbox: Vec<Event>,
+}
+
+impl Account {
+    /// An empty account of the router `origin`, a number that is new with each start.
+    #[must_use]
+    pub fn new(origin: u64) -> Self {
+        Self {
+            origin,
+            next_run: 0,
+            targets: BTreeMap::new(),
+            shares: Shares::default(),
+            pace: PaceTarget::default(),
+            refused: BTreeMap::new(),
+            outbox: Vec::new(),
+        }
+    }
+
+    /// The router whose account it is.
+    #[must_use]
+    pub fn origin(&self) -> u64 {
+        self.origin
+    }
+
+    /// Takes the targets that exist now, and the services as configured.
+    pub fn set_targets(&mut self, entries: &[TargetEntry], table: &RoutingTable) {
+        let mut old = std::mem::take(&mut self.targets);
+        for entry in entries {
+            let engine = table.services.get(&entry.service).and_then(|s| s.engine);
+            let known = old.remove(&entry.name).filter(|t| t.is_same_start(entry));
+            let mut target = known.unwrap_or_else(|| Target::new(entry.clone(), engine));
+            target.update(entry.clone(), engine);
+            self.targets.insert(entry.name.clone(), target);
+        }
+    }
+
+    /// A number for a new run of this router.
+    pub fn next_run(&mut self) -> RunId {
+        self.next_run = self.next_run.wrapping_add(1);
+        RunId {
+            origin: self.origin,
+            number: self.next_run,
+        }
+    }
+
+    /// Counts a run of this router that another one has placed.
+    pub fn adopt(&mut self, placement: &Placement, ask: &Ask<'_>, now: Duration) {
+        let event = started(placement, ask);
+        self.count(&event, now);
+        self.note_own(placement, now);
+    }
+
+    /// Notes bytes of a run of this router; the first ones end the reading of its prompt.
+    pub fn progress(&mut self, placement: &Placement, now: Duration) {
+        let Some(target) = self.targets.get_mut(&placement.target) else {
+            return;
+        };
+        target.health.progressed(now, false);
+        if target.load.is_reading(placement.run) {
+            self.tell(
+                Event::FirstEvent {
+                    run: placement.run,
+                    target: placement.target.clone(),
+                },
+                now,
+            );
+        }
+    }
+
+    /// Notes the end of a run of this router, and what it showed of its target.
+    pub fn end(&mut self, placement: &Placement, result: RunResult, now: Duration) {
+        if let Some(target) = self.targets.get_mut(&placement.target) {
+            target.own.remove(&placement.run);
+            if target.own.is_empty() {
+                target.health.idle();
+            }
+        }
+        self.tell(
+            Event::Ended {
+                run: placement.run,
+                target: placement.target.clone(),
+                result,
+            },
+            now,
+        );
+    }
+
+    /// Counts events of another router; with `is_relayed`, they are told to others in turn.
+    pub fn apply(&mut self, events: Vec<Event>, is_relayed: bool, now: Duration) {
+        for event in events {
+            self.count(&event, now);
+            if is_relayed {
+                self.outbox.push(event);
+            }
+        }
+    }
+
+    /// Events for the other routers since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    /// Whether there are events for the other routers.
+    #[must_use]
+    pub fn has_events(&self) -> bool {
+        !self.outbox.is_empty()
+    }
+
+    /// Runs of this router that have not ended, to repair what others missed.
+    #[must_use]
+    pub fn own_runs(&self) -> Vec<u32> {
+        let own = self.targets.values().flat_map(|t| &t.own);
+        own.map(|run| run.number).collect()
+    }
+
+    /// Ends the runs of another router that are not among `active`; all of them when the router
+    /// is gone. With `is_relayed`, the ends are told to others in turn.
+    pub fn retain_runs(
+        &mut self,
+        origin: u64,
+        active: Option<&BTreeSet<u32>>,
+        is_relayed: bool,
+        now: Duration,
+    ) {
+        let is_over = |run: RunId, since: Duration| {
+            active.is_none_or(|active| {
+                !active.contains(&run.number) && now.saturating_sub(since) > LIST_LAG
+            })
+        };
+        let mut over = Vec::new();
+        for (name, target) in &self.targets {
+            let runs = target.load.runs_of(origin).into_iter();
+            over.extend(
+                runs.filter(|(run, since)| is_over(*run, *since))
+                    .map(|(run, _)| (name.clone(), run)),
+            );
+        }
+        self.end_all(over, is_relayed, now);
+    }
+
+    /// Does what time brings about: forgets runs whose end was never heard, and tells others of
+    /// targets that have stalled.
+    pub fn sweep(&mut self, now: Duration) {
+        let oldest = now.saturating_sub(MAX_RUN_AGE);
+        let mut over = Vec::new();
+        for (name, target) in &self.targets {
+            let runs = target.load.begun_before(oldest).into_iter();
+            over.extend(runs.map(|run| (name.clone(), run)));
+        }
+        self.end_all(over, false, now);
+        let stalled = self
+            .targets
+            .iter()
+            .filter(|(_, t)| t.health.is_stalled(now));
+        let events: Vec<Event> = stalled
+            .map(|(name, _)| Event::Stalled {
+                target: name.clone(),
+            })
+            .collect();
+        self.outbox.extend(events);
+    }
+
+    fn end_all(&mut self, runs: Vec<(TargetName, RunId)>, is_relayed: bool, now: Duration) {
+        let events = runs.into_iter().map(|(target, run)| Event::Ended {
+            run,
+            target,
+            result: RunResult::Unknown,
+        });
+        self.apply(events.collect(), is_relayed, now);
+    }
+
+    /// Counts an event of this router and keeps it for the others.
+    fn tell(&mut self, event: Event, now: Duration) {
+        self.count(&event, now);
+        self.outbox.push(event);
+    }
+
+    fn note_own(&mut self, placement: &Placement, now: Duration) {
+        if let Some(target) = self.targets.get_mut(&placement.target) {
+            target.own.insert(placement.run);
+            target.health.sent(now);
+        }
+    }
+
+    fn count(&mut self, event: &Event, now: Duration) {
+        match event {
+            Event::Started {
+                run,
+                target,
+                customer,
+                generation,
+                unread_tokens,
+            } => {
+                if let (Some(customer), Some(generation)) = (customer, generation) {
+                    self.shares.serve(customer, generation.cost(), now);
+                    if run.origin != self.origin {
+                        self.shares.ask(customer, generation.cost(), now);
+                    }
+                }
+                if let Some(target) = self.targets.get_mut(target) {
+                    let work = generation.as_ref().map(|g| (g, *unread_tokens));
+                    target.load.start(*run, work, now);
+                }
+            }
+            Event::FirstEvent { run, target } => {
+                if let Some(Load::Engine(load)) = self.targets.get_mut(target).map(|t| &mut t.load)
+                {
+                    load.first_event(*run, now);
+                }
+            }
+            Event::Ended {
+                run,
+                target,
+                result,
+            } => {
+                if let Some(target) = self.targets.get_mut(target) {
+                    target.load.end(*run, now);
+                    target.observe(*result, now);
+                }
+            }
+            Event::Refused {
+                fingerprint,
+                customer,
+                cost,
+            } => {
+                if let Some(customer) = customer {
+                    self.shares.ask(customer, *cost, now);
+                }
+                self.remember_refused(*fingerprint, now);
+            }
+            Event::Stalled { target } => {
+                if let Some(target) = self.targets.get_mut(target) {
+                    target.health.reported_stalled(now);
+                }
+            }
+        }
+    }
+
+    fn is_return(&self, fingerprint: u64, now: Duration) -> bool {
+        let refused_at = self.refused.get(&fingerprint);
+        refused_at.is_some_and(|at| now.saturating_sub(*at) < RETURN_MEMORY)
+    }
+
+    fn remember_refused(&mut self, fingerprint: u64, now: Duration) {
+        if self.refused.len() >= MAX_REFUSED {
+            self.refused
+                .retain(|_, at| now.saturating_sub(*at) < RETURN_MEMORY / 2);
+        }
+        if self.refused.len() < MAX_REFUSED {
+            self.refused.insert(fingerprint, now);
+        }
+    }
+}
+
+/// The event that tells of a placed request.
+fn started(placement: &Placement, ask: &Ask<'_>) -> Event {
+    Event::Started {
+        run: placement.run,
+        target: placement.target.clone(),
+        customer: ask.customer.cloned(),
+        generation: ask.generation.cloned(),
+        unread_tokens: placement.estimate.map_or(0, |e| e.unread_tokens),
+    }
+}
--- /dev/null
+++ b/samphiresill-sched/src/fleet/account/target.rs
@@ -0,0 +1,119 @@
+//! One target in the account: its entry, its load and the belief about it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use samphiresill_core::routing::{EngineSpec, TargetEntry};
+
+use crate::fleet::engine::Engine;
+use crate::fleet::event::RunResult;
+use crate::fleet::health::Health;
+use crate::fleet::plain::Plain;
+use crate::fleet::work::{Generation, RunId};
+
+/// `Load` is what runs on a target.
+#[derive(Clone, Debug)]
+pub(super) enum Load {
+    Engine(Engine),
+    Plain(Plain),
+}
+
+/// `Target` is one target in the account.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) entry: TargetEntry,
+    pub(super) load: Load,
+    pub(super) health: Health,
+    /// Requests of this router that run there.
+    pub(super) own: BTreeSet<RunId>,
+}
+
+impl Target {
+    pub(super) fn new(entry: TargetEntry, engine: Option<EngineSpec>) -> Self {
+        let load = match engine {
+            Some(spec) => Load::Engine(Engine::new(spec)),
+            None => Load::Plain(Plain::new(entry.slots)),
+        };
+        Self {
+            entry,
+            load,
+            health: Health::default(),
+            own: BTreeSet::new(),
+        }
+    }
+
+    /// Whether `entry` is about this start of the target.
+    pub(super) fn is_same_start(&self, entry: &TargetEntry) -> bool {
+        self.entry.started_ms == entry.started_ms && self.entry.service == entry.service
+    }
+
+    pub(super) fn update(&mut self, entry: TargetEntry, engine: Option<EngineSpec>) {
+        if let (Load::Engine(load), Some(spec)) = (&mut self.load, engine) {
+            load.set_spec(spec);
+        }
+        self.entry = entry;
+    }
+
+    /// Takes in what a run showed of the target.
+    pub(super) fn observe(&mut self, result: RunResult, now: Duration) {
+        match result {
+            RunResult::Unknown => {}
+            RunResult::Answered { ms } => {
+                self.health.succeeded();
+                if let Load::Plain(load) = &mut self.load {
+                    load.observe(Duration::from_millis(u64::from(ms)));
+                }
+            }
+            RunResult::Failed => self.health.failed(now),
+            RunResult::Unreachable => self.health.unreachable(now),
+        }
+    }
+}
+
+impl Load {
+    pub(super) fn start(&mut self, run: RunId, work: Option<(&Generation, u32)>, now: Duration) {
+        match (self, work) {
+            (Self::Engine(load), Some((generation, unread))) => {
+                load.start(run, generation, unread, now);
+            }
+            (Self::Engine(load), None) => load.start(run, &Generation::default(), 0, now),
+            (Self::Plain(load), _) => load.start(run, now),
+        }
+    }
+
+    pub(super) fn end(&mut self, run: RunId, now: Duration) {
+        match self {
+            Self::Engine(load) => load.end(run, now),
+            Self::Plain(load) => load.end(run),
+        }
+    }
+
+    pub(super) fn is_reading(&self, run: RunId) -> bool {
+        match self {
+            Self::Engine(load) => load.is_reading(run),
+            Self::Plain(_) => false,
+        }
+    }
+
+    /// Runs of an origin, and since when they have been there.
+    pub(super) fn runs_of(&self, origin: u64) -> Vec<(RunId, Duration)> {
+        match self {
+            Self::Engine(load) => with_since(load.runs_of(origin), |r| load.since(r)),
+            Self::Plain(load) => with_since(load.runs_of(origin), |r| load.since(r)),
+        }
+    }
+
+    pub(super) fn begun_before(&self, time: Duration) -> Vec<RunId> {
+        match self {
+            Self::Engine(load) => load.begun_before(time).collect(),
+            Self::Plain(load) => load.begun_before(time).collect(),
+        }
+    }
+}
+
+fn with_since(
+    runs: impl Iterator<Item = RunId>,
+    since: impl Fn(RunId) -> Option<Duration>,
+) -> Vec<(RunId, Duration)> {
+    runs.filter_map(|run| Some((run, since(run)?))).collect()
+}
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 /// Part of its aim that a request may wait.
 const WAIT_PART: f64 = 0.6;
@@ -25,7 +26,7 @@
 const MAX_RETRY_PART: f64 = 0.3;
 
 /// `Reason` is why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
 pub enum Reason {
     /// No target of the service is known or usable.
     #[display("no target")]
@@ -42,7 +43,7 @@
 }
 
 /// `Refusal` is a decision not to take a request now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why.
     pub reason: Reason,
--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use samphiresill_core::routing::EngineSpec;
+use serde::{Deserialize, Serialize};
 
 use super::prefix::PrefixCache;
 use super::work::{Generation, RunId};
@@ -77,7 +78,7 @@
 }
 
 /// `Estimate` is what a request would meet on an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Estimate {
     /// Prompt tokens that are neither kept there nor copied.
     pub unread_tokens: u32,
@@ -248,14 +249,21 @@
         }
     }
 
+    /// Since when a run has been there.
+    #[must_use]
+    pub fn since(&self, run: RunId) -> Option<Duration> {
+        self.runs.get(&run).map(|r| r.since)
+    }
+
+    /// Runs that began before a time.
+    pub fn begun_before(&self, time: Duration) -> impl Iterator<Item = RunId> {
+        let old = self.runs.iter().filter(move |(_, r)| r.since < time);
+        old.map(|(id, _)| *id)
+    }
+
     /// Runs that an origin has there.
     pub fn runs_of(&self, origin: u64) -> impl Iterator<Item = RunId> {
-        let first = RunId { origin, number: 0 };
-        let last = RunId {
-            origin,
-            number: u32::MAX,
-        };
-        self.runs.range(first..=last).map(|(id, _)| *id)
+        self.runs.range(RunId::all_of(origin)).map(|(id, _)| *id)
     }
 
     fn wait(&self, now: Duration) -> Duration {
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -5,6 +5,23 @@
 
 use super::work::{Generation, RunId};
 
+/// `RunResult` is what a run showed of its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunResult {
+    /// Nothing, as when the caller left.
+    #[default]
+    Unknown,
+    /// It answered.
+    Answered {
+        /// Time from the request to its end, in milliseconds.
+        ms: u32,
+    },
+    /// It failed after the request was sent.
+    Failed,
+    /// No connection could be made.
+    Unreachable,
+}
+
 /// `Event` is one change of the fleet's load.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Event {
@@ -34,6 +51,8 @@
         run: RunId,
         /// Where it ran.
         target: TargetName,
+        /// What it showed of the target.
+        result: RunResult,
     },
     /// A request was refused for lack of capacity.
     Refused {
@@ -44,8 +63,8 @@
         /// What it asked, in weighted tokens.
         cost: u64,
     },
-    /// No connection to a target could be made.
-    Unreachable {
+    /// Requests have waited for a byte of a target for longer than a working one lets them.
+    Stalled {
         /// The target.
         target: TargetName,
     },
--- a/samphiresill-sched/src/fleet/health.rs
+++ b/samphiresill-sched/src/fleet/health.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Takes in that another router found the target stalled.
+    pub fn reported_stalled(&mut self, now: Duration) {
+        self.aside_until = self.aside_until.max(now + STALL);
+    }
+
     /// Notes a connection that could not be made.
     pub fn unreachable(&mut self, now: Duration) {
         let pause = UNREACHABLE_PAUSE * (1 << self.unreachable.min(3));
--- a/samphiresill-sched/src/fleet/plain.rs
+++ b/samphiresill-sched/src/fleet/plain.rs
@@ -3,7 +3,7 @@
 //! Answers the load pattern in which short requests with tight aims meet targets of few slots and
 //! different speed: each goes where it is expected to end first.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::work::RunId;
@@ -17,7 +17,8 @@
 #[derive(Clone, Debug)]
 pub struct Plain {
     slots: u32,
-    runs: BTreeSet<RunId>,
+    /// Requests that run or wait there, and since when.
+    runs: BTreeMap<RunId, Duration>,
     latency_ms: f64,
 }
 
@@ -27,7 +28,7 @@
     pub fn new(slots: u32) -> Self {
         Self {
             slots: slots.max(1),
-            runs: BTreeSet::new(),
+            runs: BTreeMap::new(),
             latency_ms: FIRST_LATENCY_MS,
         }
     }
@@ -49,8 +50,8 @@
     }
 
     /// Notes that a request was sent there.
-    pub fn start(&mut self, run: RunId) {
-        self.runs.insert(run);
+    pub fn start(&mut self, run: RunId, now: Duration) {
+        self.runs.insert(run, now);
     }
 
     /// Notes that a request has ended there.
@@ -64,11 +65,20 @@
         self.latency_ms += (sample - self.latency_ms) * NEWEST_WEIGHT;
     }
 
+    /// Since when a run has been there.
+    #[must_use]
+    pub fn since(&self, run: RunId) -> Option<Duration> {
+        self.runs.get(&run).copied()
+    }
+
+    /// Runs that began before a time.
+    pub fn begun_before(&self, time: Duration) -> impl Iterator<Item = RunId> {
+        let old = self.runs.iter().filter(move |(_, since)| **since < time);
+        old.map(|(id, _)| *id)
+    }
+
     /// Runs that an origin has there.
     pub fn runs_of(&self, origin: u64) -> impl Iterator<Item = RunId> {
-        self.runs
-            .iter()
-            .copied()
-            .filter(move |r| r.origin == origin)
+        self.runs.range(RunId::all_of(origin)).map(|(id, _)| *id)
     }
 }
--- a/samphiresill-sched/src/fleet/work.rs
+++ b/samphiresill-sched/src/fleet/work.rs
@@ -19,6 +19,15 @@
     pub number: u32,
 }
 
+impl RunId {
+    /// The range of all runs of one origin.
+    #[must_use]
+    pub fn all_of(origin: u64) -> std::ops::RangeInclusive<Self> {
+        let run = |number| Self { origin, number };
+        run(0)..=run(u32::MAX)
+    }
+}
+
 /// `PromptPart` is a part of a prompt that several requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
--- a/samphiresill/src/router.rs
+++ b/samphiresill/src/router.rs
@@ -136,6 +136,7 @@
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
         address: settings.listen.peers,
+        strength: 0,
         incarnation: Incarnation {
             start_ms: shared.incarnation,
             refutations: 0,
@@ -146,6 +147,7 @@
         vm: peer.vm.clone(),
         domain: peer.domain.clone(),
         address: peer.address,
+        strength: 0,
         incarnation: Incarnation::default(),
         health: Health::Dead,
     };
