--- /dev/null
+++ b/samphiresill-gateway/src/tests/events.rs
@@ -0,0 +1,59 @@
+//! Streams cut into events, wherever the bytes are split.
+
+use rstest::rstest;
+
+use crate::relay::events::Splitter;
+
+const STREAM: &str =
+    "id: 1\ndata: one\n\n: note\n\nx-version:4\nid: 2\r\ndata: a\r\ndata: b\r\n\r\nid:3\n\n";
+
+fn split(pieces: &[&[u8]]) -> (Vec<(String, Option<String>)>, bool) {
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        while let Some(event) = splitter.next_event() {
+            events.push((String::from_utf8_lossy(&event.bytes).into_owned(), event.id));
+        }
+    }
+    (events, splitter.has_rest())
+}
+
+#[test]
+fn a_stream_cut_at_any_two_bytes_gives_the_same_events() {
+    let bytes = STREAM.as_bytes();
+    let (whole, has_rest) = split(&[bytes]);
+    assert!(!has_rest);
+    let ids: Vec<Option<&str>> = whole.iter().map(|(_, id)| id.as_deref()).collect();
+    assert_eq!(ids, [Some("1"), None, Some("2"), Some("3")]);
+    let text: String = whole.iter().map(|(text, _)| text.as_str()).collect();
+    assert_eq!(text, STREAM);
+    for first in 0..=bytes.len() {
+        for second in first..=bytes.len() {
+            let pieces = [&bytes[..first], &bytes[first..second], &bytes[second..]];
+            assert_eq!(split(&pieces).0, whole, "cut at {first} and {second}");
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_ends_anywhere_gives_only_whole_events() {
+    let bytes = STREAM.as_bytes();
+    let (whole, _) = split(&[bytes]);
+    for end in 0..bytes.len() {
+        let (events, has_rest) = split(&[&bytes[..end]]);
+        assert_eq!(events[..], whole[..events.len()], "ended at {end}");
+        let length: usize = events.iter().map(|(text, _)| text.len()).sum();
+        assert_eq!(has_rest, length < end, "ended at {end}");
+    }
+}
+
+#[rstest]
+#[case::short(1_000, false)]
+#[case::long(300_000, true)]
+fn an_event_that_does_not_end_is_noticed(#[case] bytes: usize, #[case] is_overlong: bool) {
+    let mut splitter = Splitter::default();
+    splitter.push(&vec![b'x'; bytes]);
+    assert!(splitter.next_event().is_none());
+    assert_eq!(splitter.is_overlong(), is_overlong);
+}
--- /dev/null
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the gateway's parts that need no connection.
+
+mod events;
+mod frames;
+mod settings;
--- a/samphiresill-member/src/lib.rs
+++ b/samphiresill-member/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod news;
 pub mod roles;
 
+#[cfg(test)]
+mod roles_tests;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/samphiresill-member/src/roles_tests.rs
@@ -0,0 +1,94 @@
+//! Duties given to the members.
+
+use std::collections::BTreeSet;
+
+use rstest::rstest;
+
+use crate::member::{Health, Incarnation, Member};
+use crate::roles::Roles;
+
+fn member(number: u16, domain: u16, strength: u32) -> Member {
+    Member {
+        vm: format!("r{number}").into(),
+        domain: format!("d{domain}").into(),
+        address: ([127, 0, 0, 1], 1_000 + number).into(),
+        strength,
+        incarnation: Incarnation::default(),
+        health: Health::Alive,
+    }
+}
+
+/// Members in three domains; every tenth is strong.
+fn fleet(count: u16) -> Vec<Member> {
+    let strength = |n: u16| if n.is_multiple_of(10) { 500 } else { 90 };
+    (0..count).map(|n| member(n, n % 3, strength(n))).collect()
+}
+
+struct Case {
+    members: u16,
+    schedulers: usize,
+    watchers: usize,
+}
+
+#[rstest]
+#[case::alone(Case { members: 1, schedulers: 1, watchers: 1 })]
+#[case::small(Case { members: 9, schedulers: 9, watchers: 3 })]
+#[case::large(Case { members: 330, schedulers: 12, watchers: 3 })]
+fn duties_do_not_grow_with_the_fleet(#[case] case: Case) {
+    let members = fleet(case.members);
+    let roles = Roles::new(members.iter(), 12, 3);
+    assert_eq!(roles.schedulers.len(), case.schedulers);
+    assert_eq!(roles.watchers.len(), case.watchers);
+    let domains: BTreeSet<_> = roles.watchers.iter().map(|m| &m.domain).collect();
+    assert_eq!(domains.len(), case.watchers, "watchers fail apart");
+}
+
+#[test]
+fn the_strongest_of_each_domain_have_duties() {
+    let members = fleet(120);
+    let roles = Roles::new(members.iter(), 12, 3);
+    assert!(roles.schedulers.iter().all(|m| m.strength == 500));
+}
+
+#[test]
+fn the_order_of_members_does_not_matter() {
+    let mut members = fleet(50);
+    let roles = Roles::new(members.iter(), 12, 3);
+    members.reverse();
+    assert_eq!(Roles::new(members.iter(), 12, 3), roles);
+}
+
+#[test]
+fn the_duties_of_one_that_is_gone_move_alone() {
+    let mut members = fleet(50);
+    let before = Roles::new(members.iter(), 12, 3);
+    let gone = before.schedulers[5].vm.clone();
+    members.retain(|m| m.vm != gone);
+    let after = Roles::new(members.iter(), 12, 3);
+    let kept = before
+        .schedulers
+        .iter()
+        .filter(|m| after.is_scheduler(&m.vm));
+    assert_eq!(kept.count(), 11);
+}
+
+#[test]
+fn routers_are_spread_over_the_schedulers_of_their_domain() {
+    let members = fleet(90);
+    let roles = Roles::new(members.iter(), 12, 3);
+    let mut asked: Vec<usize> = roles
+        .schedulers
+        .iter()
+        .map(|s| {
+            members
+                .iter()
+                .filter(|m| roles.order_for(m)[0].vm == s.vm)
+                .count()
+        })
+        .collect();
+    asked.sort_unstable();
+    assert!(asked[0] >= 2 && asked[11] <= 16, "{asked:?}");
+    for member in &members {
+        assert_eq!(roles.order_for(member)[0].domain, member.domain);
+    }
+}
--- /dev/null
+++ b/samphiresill-sched/src/fleet/tests/accounts.rs
@@ -0,0 +1,129 @@
+//! Accounts that routers keep of each other's runs.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use samphiresill_core::name::DomainName;
+use samphiresill_core::routing::TargetState;
+
+use super::world::{Request, account, entry, service, table};
+use crate::fleet::account::{Account, Placement};
+use crate::fleet::event::RunResult;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn place(account: &mut Account, number: u64, now: Duration) -> Placement {
+    let request = Request::new("a", (number, 5_000), (1_000 + number, 2_000), 100);
+    let (service, domain) = (service(), DomainName::from("d0"));
+    let run = account.next_run();
+    account
+        .place(&request.ask(&service, &domain), run, 0.5, now)
+        .expect("an idle fleet takes a request")
+}
+
+/// Number of runs that `account` counts on the target of `placement`, as a new request sees it.
+fn runs(account: &mut Account, now: Duration) -> usize {
+    let mut probe = 0;
+    for number in 0..3 {
+        let placement = place(account, 50 + number, now);
+        probe += placement.estimate.expect("an estimate").runs;
+        account.end(&placement, RunResult::Unknown, now);
+    }
+    probe
+}
+
+#[test]
+fn routers_that_hear_each_other_spread_their_work() {
+    let (mut one, mut two) = (account(1, 2), account(2, 2));
+    let first = place(&mut one, 1, SECOND);
+    two.apply(one.take_events(), false, SECOND);
+    let second = place(&mut two, 2, SECOND);
+    assert_ne!(first.target, second.target);
+}
+
+#[test]
+fn a_lost_end_is_repaired_by_the_list_of_runs() {
+    let (mut one, mut two) = (account(1, 1), account(2, 1));
+    let placement = place(&mut one, 1, SECOND);
+    two.apply(one.take_events(), false, SECOND);
+    one.end(&placement, RunResult::Unknown, SECOND);
+    drop(one.take_events());
+    let list: BTreeSet<u32> = one.own_runs().into_iter().collect();
+    two.retain_runs(1, Some(&list), false, SECOND + SECOND / 2);
+    assert_eq!(
+        runs(&mut two, SECOND),
+        3,
+        "a young run may be missing from an older list"
+    );
+    two.retain_runs(1, Some(&list), false, SECOND * 2);
+    assert_eq!(runs(&mut two, SECOND * 2), 0);
+}
+
+#[test]
+fn a_router_that_is_gone_leaves_no_runs() {
+    let (mut one, mut two) = (account(1, 1), account(2, 1));
+    place(&mut one, 1, SECOND);
+    two.apply(one.take_events(), false, SECOND);
+    two.retain_runs(1, None, false, SECOND);
+    assert_eq!(runs(&mut two, SECOND), 0);
+}
+
+#[test]
+fn events_for_relay_reach_the_other_schedulers_once() {
+    let (mut client, mut scheduler, mut other) = (account(1, 1), account(2, 1), account(3, 1));
+    place(&mut client, 1, SECOND);
+    scheduler.apply(client.take_events(), true, SECOND);
+    other.apply(scheduler.take_events(), false, SECOND);
+    assert!(!other.has_events());
+    assert_eq!(runs(&mut other, SECOND), 3);
+}
+
+#[test]
+fn an_adopted_run_is_ended_by_its_router() {
+    let (mut client, mut scheduler) = (account(1, 1), account(2, 1));
+    let request = Request::new("a", (1, 5_000), (2, 2_000), 100);
+    let (service, domain) = (service(), DomainName::from("d0"));
+    let run = client.next_run();
+    let ask = request.ask(&service, &domain);
+    let placement = scheduler
+        .place(&ask, run, 0.5, SECOND)
+        .expect("a placement");
+    client.adopt(&placement, &ask, SECOND);
+    assert_eq!(client.own_runs(), vec![run.number]);
+    assert!(!client.has_events(), "the scheduler has told of the start");
+    client.end(&placement, RunResult::Unknown, SECOND);
+    scheduler.apply(client.take_events(), true, SECOND);
+    assert_eq!(runs(&mut scheduler, SECOND), 0);
+}
+
+#[test]
+fn a_draining_target_gets_nothing_new() {
+    let mut account = account(1, 2);
+    let mut entries = vec![entry(0), entry(1)];
+    entries[0].state = TargetState::Draining;
+    account.set_targets(&entries, &table());
+    for number in 0..5 {
+        assert_eq!(place(&mut account, number, SECOND).target, entry(1).name);
+    }
+}
+
+#[test]
+fn a_target_that_started_again_has_no_runs_and_keeps_no_prompts() {
+    let mut account = account(1, 1);
+    place(&mut account, 1, SECOND);
+    let mut again = entry(0);
+    again.started_ms = 5;
+    account.set_targets(&[again], &table());
+    let estimate = place(&mut account, 1, SECOND)
+        .estimate
+        .expect("an estimate");
+    assert_eq!((estimate.runs, estimate.unread_tokens), (0, 7_000));
+}
+
+#[test]
+fn runs_whose_end_is_never_heard_are_forgotten() {
+    let mut account = account(1, 1);
+    place(&mut account, 1, SECOND);
+    account.sweep(SECOND * 60);
+    assert_eq!(runs(&mut account, SECOND * 60), 0);
+}
--- /dev/null
+++ b/samphiresill-sched/src/fleet/tests/decisions.rs
@@ -0,0 +1,154 @@
+//! Tables of cases for the single decisions.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::fleet::admission::{self, Candidate, Reason};
+use crate::fleet::health::Health;
+use crate::fleet::prefix::PrefixCache;
+use crate::fleet::shares::Shares;
+use crate::fleet::work::PromptPart;
+
+const MS: Duration = Duration::from_millis(1);
+
+struct Admission {
+    wait_ms: u32,
+    pace_ms: f64,
+    share_ratio: f64,
+    is_return: bool,
+    refused: Option<Reason>,
+}
+
+#[rstest]
+#[case::idle(Admission { wait_ms: 0, pace_ms: 2.0, share_ratio: 0.0, is_return: false, refused: None })]
+#[case::idle_above_share(Admission { wait_ms: 0, pace_ms: 2.0, share_ratio: 9.0, is_return: false, refused: None })]
+#[case::short_wait(Admission { wait_ms: 500, pace_ms: 2.0, share_ratio: 0.5, is_return: false, refused: None })]
+#[case::long_wait(Admission { wait_ms: 700, pace_ms: 2.0, share_ratio: 0.5, is_return: false, refused: Some(Reason::Wait) })]
+#[case::long_wait_return(Admission { wait_ms: 700, pace_ms: 2.0, share_ratio: 0.5, is_return: true, refused: None })]
+#[case::slow_pace(Admission { wait_ms: 0, pace_ms: 13.0, share_ratio: 0.5, is_return: false, refused: Some(Reason::Wait) })]
+#[case::slow_pace_return(Admission { wait_ms: 0, pace_ms: 13.0, share_ratio: 0.5, is_return: true, refused: None })]
+#[case::above_share(Admission { wait_ms: 500, pace_ms: 2.0, share_ratio: 1.5, is_return: false, refused: Some(Reason::AboveShare) })]
+#[case::above_share_pace(Admission { wait_ms: 0, pace_ms: 8.0, share_ratio: 1.5, is_return: false, refused: Some(Reason::AboveShare) })]
+fn admission_cases(#[case] case: Admission) {
+    let decision = admission::decide(&Candidate {
+        wait: MS * case.wait_ms,
+        pace_ms: case.pace_ms,
+        pace_target_ms: 10.0,
+        aim: Duration::from_secs(1),
+        time_left: Duration::from_secs(12),
+        share_ratio: case.share_ratio,
+        is_return: case.is_return,
+        draw: 0.5,
+    });
+    assert_eq!(decision.err().map(|r| r.reason), case.refused);
+}
+
+struct Retry {
+    delay_ms: u32,
+    time_left_ms: u32,
+    draw: f64,
+    expected_ms: u128,
+}
+
+#[rstest]
+#[case::spread_low(Retry { delay_ms: 1_000, time_left_ms: 12_000, draw: 0.0, expected_ms: 500 })]
+#[case::spread_high(Retry { delay_ms: 1_000, time_left_ms: 12_000, draw: 1.0, expected_ms: 1_500 })]
+#[case::not_zero(Retry { delay_ms: 0, time_left_ms: 12_000, draw: 0.5, expected_ms: 150 })]
+#[case::within_what_callers_honour(Retry { delay_ms: 9_000, time_left_ms: 3_000, draw: 0.5, expected_ms: 900 })]
+fn retry_after_cases(#[case] case: Retry) {
+    let delay = admission::retry_after(MS * case.delay_ms, MS * case.time_left_ms, case.draw);
+    assert_eq!(delay.as_millis(), case.expected_ms);
+}
+
+#[test]
+fn a_target_that_cannot_be_reached_is_set_aside_longer_each_time() {
+    let mut health = Health::default();
+    let mut now = Duration::ZERO;
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        health.unreachable(now);
+        let began = now;
+        while !health.is_usable(now) {
+            now += 10 * MS;
+        }
+        pauses.push((now - began).as_millis());
+    }
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    assert!(pauses[4] <= 3_000, "{pauses:?}");
+}
+
+#[test]
+fn ordinary_errors_do_not_set_a_target_aside_but_many_do() {
+    let mut health = Health::default();
+    for n in 0..200 {
+        if n % 7 == 0 {
+            health.failed(n * MS);
+        } else {
+            health.succeeded();
+        }
+        assert!(
+            health.is_usable(n * MS),
+            "one failure in seven is ordinary, at {n}"
+        );
+    }
+    for n in 200..210 {
+        health.failed(n * MS);
+    }
+    assert!(!health.is_usable(210 * MS));
+    assert!(
+        health.is_usable(2_000 * MS),
+        "it gets work again after a pause"
+    );
+}
+
+#[test]
+fn a_target_is_stalled_only_while_requests_wait_for_a_byte() {
+    let mut health = Health::default();
+    health.sent(Duration::ZERO);
+    assert!(health.is_usable(800 * MS));
+    assert!(!health.is_usable(1_000 * MS));
+    health.progressed(1_000 * MS, false);
+    assert!(health.is_usable(1_800 * MS));
+    health.idle();
+    assert!(health.is_usable(9_000 * MS));
+}
+
+struct Level {
+    /// Weighted tokens that customers asked for and received.
+    usage: Vec<(u64, u64)>,
+    /// Whether each is above the level at which all could be served evenly.
+    is_above: Vec<bool>,
+}
+
+#[rstest]
+#[case::one_alone(Level { usage: vec![(900, 900)], is_above: vec![false] })]
+#[case::flood(Level { usage: vec![(100, 100), (100, 100), (1_000, 400)], is_above: vec![false, false, false] })]
+#[case::flood_gets_more(Level { usage: vec![(300, 100), (300, 100), (1_000, 400)], is_above: vec![false, false, true] })]
+fn max_min_level(#[case] case: Level) {
+    let mut shares = Shares::default();
+    let now = Duration::from_secs(1);
+    let name = |n: usize| format!("c{n}").as_str().into();
+    for (n, (asked, served)) in case.usage.iter().enumerate() {
+        shares.ask(&name(n), *asked, now);
+        shares.serve(&name(n), *served, now);
+    }
+    let ratios = (0..case.usage.len()).map(|n| shares.ratio(&name(n), now));
+    let is_above: Vec<bool> = ratios.map(|r| r > 1.0 + 1e-9).collect();
+    assert_eq!(is_above, case.is_above);
+}
+
+#[test]
+fn the_prefix_cache_counts_leading_parts_and_drops_the_least_recently_used() {
+    let part = |id, tokens| PromptPart { id, tokens };
+    let mut cache = PrefixCache::default();
+    cache.touch(&[part(1, 100), part(2, 50)], 1_000, MS);
+    assert_eq!(
+        cache.cached_tokens(&[part(1, 100), part(2, 50), part(3, 10)]),
+        150
+    );
+    assert_eq!(cache.cached_tokens(&[part(9, 10), part(2, 50)]), 0);
+    cache.touch(&[part(4, 900)], 1_000, 2 * MS);
+    assert_eq!(cache.cached_tokens(&[part(1, 100)]), 0);
+    assert_eq!(cache.cached_tokens(&[part(4, 900)]), 900);
+}
--- /dev/null
+++ b/samphiresill-sched/src/fleet/tests/patterns.rs
@@ -0,0 +1,229 @@
+//! Load patterns, replayed against engines that read prompts in order of arrival.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use rstest::rstest;
+
+use super::world::{Request, World};
+use crate::fleet::admission::Reason;
+
+const SPEEDS: [f64; 6] = [0.6, 1.0, 1.6, 0.6, 1.0, 1.6];
+
+/// A long prompt whose first part is one of `subjects`, with an answer of some hundred tokens.
+fn long_prompt(rng: &mut StdRng, customer: &str, subjects: u64) -> Request {
+    let shared = (rng.random_range(0..subjects), 4_900);
+    let own = (
+        rng.random_range(1_000_000..u64::MAX),
+        rng.random_range(2_000..11_000),
+    );
+    Request::new(customer, shared, own, rng.random_range(200..600))
+}
+
+struct Overload {
+    per_s: f64,
+    /// Part of the taken requests that must end in time.
+    min_whole: f64,
+    /// Part of the taken requests that must begin within their aim.
+    min_on_time: f64,
+}
+
+/// More long prompts arrive than can be read: what is taken begins and ends in time, because the
+/// rest is refused at once.
+#[rstest]
+#[case::calm(Overload { per_s: 8.0, min_whole: 0.97, min_on_time: 0.97 })]
+#[case::full(Overload { per_s: 25.0, min_whole: 0.9, min_on_time: 0.9 })]
+#[case::three_times_over(Overload { per_s: 75.0, min_whole: 0.9, min_on_time: 0.9 })]
+fn what_is_taken_ends_in_time(#[case] case: Overload) {
+    let mut world = World::new(&SPEEDS, 7);
+    world.play(case.per_s, Duration::from_secs(25), |rng| {
+        long_prompt(rng, "a", 60)
+    });
+    let whole = world.part_of_taken(|o| o.whole.is_some());
+    let on_time = world.part_of_taken(|o| o.first.is_some_and(|f| f <= Duration::from_secs(1)));
+    assert!(
+        whole >= case.min_whole,
+        "{whole:.3} of the taken requests ended in time"
+    );
+    assert!(
+        on_time >= case.min_on_time,
+        "{on_time:.3} of the taken requests began in time"
+    );
+}
+
+/// Refusals do not leave the engines idle: as much is read as engines can read beside streams.
+#[test]
+fn overload_keeps_the_engines_busy() {
+    let mut world = World::new(&SPEEDS, 11);
+    world.play(75.0, Duration::from_secs(20), |rng| {
+        long_prompt(rng, "a", 60)
+    });
+    let capacity: f64 = SPEEDS.iter().sum::<f64>() * 48.0 * 20_000.0;
+    let part = world.read_tokens / capacity;
+    assert!(part > 0.5, "{part:.2} of the reading capacity was used");
+}
+
+/// Nothing is refused while engines have room and nothing waits.
+#[test]
+fn a_calm_fleet_refuses_nothing() {
+    let mut world = World::new(&SPEEDS, 3);
+    world.play(6.0, Duration::from_secs(20), |rng| {
+        long_prompt(rng, "a", 60)
+    });
+    let refused = world
+        .outcomes
+        .iter()
+        .filter(|o| o.refused.is_some())
+        .count();
+    assert_eq!(refused, 0);
+}
+
+/// Many requests begin with the same parts: these are read once and copied, not read again.
+#[test]
+fn shared_parts_are_not_read_again() {
+    let mut world = World::new(&SPEEDS, 5);
+    world.play(15.0, Duration::from_secs(20), |rng| {
+        long_prompt(rng, "a", 20)
+    });
+    let part = world.reread_tokens / world.read_tokens;
+    assert!(
+        part < 0.03,
+        "{part:.3} of the tokens read were shared parts read before"
+    );
+}
+
+/// One customer sends eight times as much as each of three others: these are served as if it were
+/// not there.
+#[test]
+fn a_flood_by_one_customer_is_its_own_loss() {
+    let mut world = World::new(&SPEEDS, 9);
+    world.play(60.0, Duration::from_secs(25), |rng| {
+        let customer = match rng.random_range(0..11) {
+            0 => "a",
+            1 => "b",
+            2 => "c",
+            _ => "flood",
+        };
+        long_prompt(rng, customer, 60)
+    });
+    let served = |customer: &str| {
+        let asked = world.outcomes.iter().filter(|o| o.customer == customer);
+        let all = asked.clone().count() as f64;
+        asked.filter(|o| o.whole.is_some()).count() as f64 / all
+    };
+    for customer in ["a", "b", "c"] {
+        let part = served(customer);
+        assert!(
+            part > 0.85,
+            "{part:.2} of the requests of {customer} were served"
+        );
+    }
+    assert!(served("flood") < 0.6, "the flood is cut");
+}
+
+/// Large prompts are refused no more often than small ones: the wait counts, not the size.
+#[test]
+fn large_prompts_are_not_starved() {
+    let mut world = World::new(&SPEEDS, 13);
+    let mut sizes = Vec::new();
+    world.play(50.0, Duration::from_secs(25), |rng| {
+        let is_large = rng.random_range(0..5) == 0;
+        let own = if is_large { 20_000 } else { 4_000 };
+        sizes.push(is_large);
+        Request::new(
+            "a",
+            (rng.random_range(0..60), 4_900),
+            (rng.random(), own),
+            300,
+        )
+    });
+    let part = |is_large: bool| {
+        let of_size = world
+            .outcomes
+            .iter()
+            .zip(&sizes)
+            .filter(|(_, s)| **s == is_large);
+        let all = of_size.clone().count() as f64;
+        of_size.filter(|(o, _)| o.refused.is_none()).count() as f64 / all
+    };
+    assert!(
+        part(true) > part(false) * 0.5,
+        "{:.2} against {:.2}",
+        part(true),
+        part(false)
+    );
+}
+
+/// A request that was refused finds more room when it returns than a fresh one.
+#[test]
+fn a_request_that_returns_goes_before_fresh_ones() {
+    let mut taken = [0, 0];
+    for seed in 0..40 {
+        let mut world = World::new(&SPEEDS, seed);
+        let mut rng: StdRng = rand::SeedableRng::seed_from_u64(seed);
+        let refused = loop {
+            let request = long_prompt(&mut rng, "a", 60);
+            if world.offer(request.clone()).is_err() {
+                break request;
+            }
+        };
+        for _ in 0..150 {
+            world.step();
+        }
+        let fresh = long_prompt(&mut rng, "a", 60);
+        taken[0] += u32::from(world.offer(refused).is_ok());
+        taken[1] += u32::from(world.offer(fresh).is_ok());
+    }
+    assert!(
+        taken[0] > taken[1],
+        "{taken:?} of 40 returns and fresh requests were taken"
+    );
+}
+
+/// Refused callers return spread over time, within what they honour.
+#[test]
+fn returns_are_spread() {
+    let mut world = World::new(&SPEEDS, 17);
+    world.play(90.0, Duration::from_secs(10), |rng| {
+        long_prompt(rng, "a", 60)
+    });
+    let refusals: Vec<_> = world.outcomes.iter().filter_map(|o| o.refused).collect();
+    assert!(refusals.len() > 100);
+    let delays: std::collections::BTreeSet<u128> = refusals
+        .iter()
+        .map(|r| r.retry_after.as_millis() / 50)
+        .collect();
+    assert!(delays.len() > 5, "{delays:?}");
+    for refusal in refusals {
+        assert!(refusal.retry_after <= Duration::from_secs(4), "{refusal:?}");
+        assert!(
+            matches!(refusal.reason, Reason::Wait | Reason::AboveShare),
+            "{refusal:?}"
+        );
+    }
+}
+
+struct Speed {
+    speed: f64,
+    tokens_per_ms: f64,
+}
+
+/// The rate at which an engine reads is learnt from its first tokens.
+#[rstest]
+#[case::slow(Speed { speed: 0.6, tokens_per_ms: 28.8 })]
+#[case::middling(Speed { speed: 1.0, tokens_per_ms: 48.0 })]
+#[case::fast(Speed { speed: 1.6, tokens_per_ms: 76.8 })]
+fn the_rate_of_an_engine_is_learnt(#[case] case: Speed) {
+    let mut world = World::new(&[case.speed], 21);
+    world.play(2.5, Duration::from_secs(6), |rng| long_prompt(rng, "a", 5));
+    let probe = Request::new("a", (0, 4_900), (99, 3_000), 10);
+    let placement = world.offer(probe).expect("an idle engine takes a request");
+    let rate = placement.estimate.expect("an engine's estimate").rate;
+    let ratio = rate / case.tokens_per_ms;
+    assert!(
+        (0.75..1.35).contains(&ratio),
+        "learnt {rate:.1}, true {}",
+        case.tokens_per_ms
+    );
+}
--- /dev/null
+++ b/samphiresill-sched/src/fleet/tests/world.rs
@@ -0,0 +1,322 @@
+//! Engines in a test: prompts are read in order of arrival, in chunks between the steps that make
+//! one token of each stream.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use samphiresill_core::name::{CustomerName, DomainName, TargetName, WorkName};
+use samphiresill_core::routing::{
+    CallerLimits, EngineSpec, RoutingTable, Service, TargetEntry, TargetState,
+};
+
+use crate::fleet::account::{Account, Placement};
+use crate::fleet::admission::Refusal;
+use crate::fleet::event::RunResult;
+use crate::fleet::work::{Ask, Generation, PromptPart, RunId};
+
+/// Prompt tokens that an engine of speed 1 reads in a millisecond.
+const READ_PER_MS: f64 = 48.0;
+/// Prompt tokens of one step.
+const CHUNK: f64 = 2_048.0;
+/// Time of a step of an engine of speed 1, and for each stream in it, in milliseconds.
+const STEP_MS: (f64, f64) = (2.6, 0.12);
+/// Tokens that an engine keeps in memory.
+const MEMORY: u32 = 400_000;
+
+/// The service of all engines.
+pub fn service() -> WorkName {
+    WorkName::from("model")
+}
+
+/// What the configuration says of the engines.
+pub fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 64,
+        memory_tokens: MEMORY,
+        event_tokens: 6,
+        token_bytes: 18_432,
+        link_mbps: 740_000,
+    }
+}
+
+/// A configuration with one service.
+pub fn table() -> RoutingTable {
+    let service = Service {
+        name: service(),
+        health_path: "/health".into(),
+        max_connections: 100,
+        engine: Some(spec()),
+    };
+    let limits = CallerLimits {
+        head_bytes: 8_192,
+        body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+        fleet_tokens_per_s: None,
+    };
+    RoutingTable::new(1, Vec::new(), vec![service], BTreeMap::new(), limits)
+}
+
+/// The directory's entry of an engine.
+pub fn entry(number: usize) -> TargetEntry {
+    TargetEntry {
+        name: TargetName::from(format!("e{number}")),
+        service: service(),
+        address: ([127, 0, 0, 1], 9_000 + number as u16).into(),
+        domain: DomainName::from(format!("d{}", number % 3)),
+        slots: 64,
+        state: TargetState::Ready,
+        started_ms: 0,
+    }
+}
+
+/// An account that knows `count` engines.
+pub fn account(origin: u64, count: usize) -> Account {
+    let mut account = Account::new(origin);
+    let entries: Vec<TargetEntry> = (0..count).map(entry).collect();
+    account.set_targets(&entries, &table());
+    account
+}
+
+/// `Request` is one request of a load pattern.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub customer: CustomerName,
+    pub generation: Generation,
+    pub aim: Duration,
+    pub timeout: Duration,
+}
+
+impl Request {
+    /// A request with a shared part and one of its own.
+    pub fn new(customer: &str, shared: (u64, u32), own: (u64, u32), output: u32) -> Self {
+        let part = |(id, tokens)| PromptPart { id, tokens };
+        Self {
+            customer: customer.into(),
+            generation: Generation {
+                parts: vec![part(shared), part(own)],
+                prompt_tokens: shared.1 + own.1,
+                output_tokens: output,
+            },
+            aim: Duration::from_millis(1_000),
+            timeout: Duration::from_secs(12),
+        }
+    }
+
+    pub fn ask<'a>(&'a self, service: &'a WorkName, domain: &'a DomainName) -> Ask<'a> {
+        Ask {
+            customer: Some(&self.customer),
+            service,
+            generation: Some(&self.generation),
+            aim: self.aim,
+            time_left: self.timeout,
+            domain,
+            tried: &[],
+            has_run: false,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    index: usize,
+    placement: Placement,
+    unread: f64,
+    tokens_left: f64,
+    began: Duration,
+    first: Option<Duration>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    speed: f64,
+    free_at: Duration,
+    kept: BTreeSet<u64>,
+    waiting: VecDeque<Job>,
+    streams: Vec<Job>,
+}
+
+/// `Outcome` is what became of one request.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub customer: String,
+    pub refused: Option<Refusal>,
+    pub first: Option<Duration>,
+    pub whole: Option<Duration>,
+}
+
+/// `World` is one account before engines, in steps of a millisecond.
+pub struct World {
+    pub account: Account,
+    pub now: Duration,
+    pub outcomes: Vec<Outcome>,
+    pub read_tokens: f64,
+    pub reread_tokens: f64,
+    seen: BTreeSet<u64>,
+    engines: BTreeMap<TargetName, Engine>,
+    requests: Vec<Request>,
+    rng: StdRng,
+}
+
+impl World {
+    /// Engines with these speeds.
+    pub fn new(speeds: &[f64], seed: u64) -> Self {
+        let engine = |(n, speed): (usize, &f64)| {
+            let engine = Engine {
+                speed: *speed,
+                ..Engine::default()
+            };
+            (entry(n).name, engine)
+        };
+        Self {
+            account: account(1, speeds.len()),
+            now: Duration::from_secs(1),
+            outcomes: Vec::new(),
+            read_tokens: 0.0,
+            reread_tokens: 0.0,
+            seen: BTreeSet::new(),
+            engines: speeds.iter().enumerate().map(engine).collect(),
+            requests: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Plays `per_s` requests a second, made by `next`, for a time; then until all have ended.
+    pub fn play(
+        &mut self,
+        per_s: f64,
+        length: Duration,
+        mut next: impl FnMut(&mut StdRng) -> Request,
+    ) {
+        let end = self.now + length;
+        while self.now < end {
+            let is_due = self.rng.random::<f64>() < per_s / 1_000.0;
+            if is_due {
+                let request = next(&mut self.rng);
+                // A refusal is kept in the outcomes.
+                drop(self.offer(request));
+            }
+            self.step();
+        }
+        let end = self.now + Duration::from_secs(15);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Offers one request.
+    pub fn offer(&mut self, request: Request) -> Result<Placement, Refusal> {
+        let (service, domain) = (service(), DomainName::from("d0"));
+        let run: RunId = self.account.next_run();
+        let draw = self.rng.random();
+        let placed = self
+            .account
+            .place(&request.ask(&service, &domain), run, draw, self.now);
+        let mut outcome = Outcome {
+            customer: request.customer.to_string(),
+            ..Outcome::default()
+        };
+        match &placed {
+            Ok(placement) => self.begin(&request, placement.clone()),
+            Err(refusal) => outcome.refused = Some(*refusal),
+        }
+        self.outcomes.push(outcome);
+        self.requests.push(request);
+        placed
+    }
+
+    fn begin(&mut self, request: &Request, placement: Placement) {
+        let parts = &request.generation.parts;
+        let source = self.engines.values().enumerate();
+        let copied: BTreeSet<u64> = match placement.copy_from {
+            Some(address) => source
+                .filter(|(n, _)| entry(*n).address == address)
+                .flat_map(|(_, e)| e.kept.iter().copied())
+                .collect(),
+            None => BTreeSet::new(),
+        };
+        let engine = self
+            .engines
+            .get_mut(&placement.target)
+            .expect("a known engine");
+        let has = |p: &&PromptPart| engine.kept.contains(&p.id) || copied.contains(&p.id);
+        let kept: u32 = parts.iter().take_while(has).map(|p| p.tokens).sum();
+        let unread = request.generation.prompt_tokens - kept;
+        let shared = &parts[0];
+        if kept == 0 && !self.seen.insert(shared.id) {
+            self.reread_tokens += f64::from(shared.tokens);
+        }
+        self.read_tokens += f64::from(unread);
+        engine.kept.extend(parts.iter().map(|p| p.id));
+        engine.waiting.push_back(Job {
+            index: self.outcomes.len(),
+            placement,
+            unread: f64::from(unread),
+            tokens_left: f64::from(request.generation.output_tokens),
+            began: self.now,
+            first: None,
+        });
+    }
+
+    /// One millisecond of all engines.
+    pub fn step(&mut self) {
+        self.now += Duration::from_millis(1);
+        let now = self.now;
+        for engine in self.engines.values_mut().filter(|e| e.free_at <= now) {
+            let mut chunk = 0.0;
+            while let Some(job) = engine.waiting.front_mut() {
+                let part = job.unread.min(CHUNK - chunk);
+                job.unread -= part;
+                chunk += part;
+                if job.unread > 0.0 {
+                    break;
+                }
+                let job = engine.waiting.pop_front().expect("a job at the head");
+                engine.streams.push(job);
+            }
+            if engine.streams.is_empty() && chunk == 0.0 {
+                continue;
+            }
+            let streams = engine.streams.len() as f64;
+            let ms = (STEP_MS.0 + STEP_MS.1 * streams + chunk / READ_PER_MS) / engine.speed;
+            engine.free_at = now + Duration::from_secs_f64(ms / 1_000.0);
+            for job in &mut engine.streams {
+                job.tokens_left -= 1.0;
+                let is_first = job.first.is_none();
+                let outcome = &mut self.outcomes[job.index];
+                if is_first {
+                    job.first = Some(engine.free_at);
+                    outcome.first = Some(engine.free_at - job.began);
+                }
+                self.account.progress(&job.placement, engine.free_at);
+                if job.tokens_left <= 0.0 {
+                    outcome.whole = Some(engine.free_at - job.began);
+                    self.account.end(
+                        &job.placement,
+                        RunResult::Answered { ms: 1 },
+                        engine.free_at,
+                    );
+                }
+            }
+            engine.streams.retain(|j| j.tokens_left > 0.0);
+            let late = |j: &Job| now.saturating_sub(j.began) > self.requests[j.index].timeout;
+            for job in engine.streams.iter().filter(|j| late(j)) {
+                self.account.end(&job.placement, RunResult::Unknown, now);
+            }
+            engine.streams.retain(|j| !late(j));
+        }
+    }
+
+    /// Requests that were taken.
+    pub fn taken(&self) -> impl Iterator<Item = &Outcome> {
+        self.outcomes.iter().filter(|o| o.refused.is_none())
+    }
+
+    /// Part of the requests taken for which `test` holds.
+    pub fn part_of_taken(&self, test: impl Fn(&Outcome) -> bool) -> f64 {
+        let taken = self.taken().count().max(1);
+        self.taken().filter(|o| test(o)).count() as f64 / taken as f64
+    }
+}
