Refuse what the processor cannot relay, and leave the rotation while it is too much

Ruled out: refusing alone; callers return to the same node, as the balancer chooses it by the caller (2,035 refused prompts looked at, 1,812 of them refused twice there).

--- a/samphiresill-gateway/src/callers.rs
+++ b/samphiresill-gateway/src/callers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -26,7 +27,12 @@
 /// Bytes of a request's head while no configuration tells how many; the smallest that hyper takes.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Part of the process's descriptors that callers may take; the rest is for targets and peers.
-const CALLERS_PART: f64 = 0.6;
+const CALLERS_PART: f64 = 0.7;
+/// Part of the callers' connections from which on each answer ends its connection, and idle
+/// connections are closed, so that new callers are still accepted.
+const CROWDED_PART: f64 = 0.5;
+/// Time that a connection may stay idle while there are many.
+const CROWDED_IDLE: Duration = Duration::from_secs(2);
 
 /// `Callers` is the open interface for callers.
 #[derive(Debug)]
@@ -61,7 +67,13 @@
     let max_connections = ((descriptors as f64 * CALLERS_PART) as usize).max(1);
     let connections = Arc::new(Semaphore::new(max_connections));
     let (closing, closed) = watch::channel(false);
-    tokio::spawn(accept(gateway, listener, Arc::clone(&connections), closed));
+    tokio::spawn(accept(
+        gateway,
+        listener,
+        Arc::clone(&connections),
+        max_connections,
+        closed,
+    ));
     Ok(Callers {
         closing,
         connections,
@@ -73,6 +85,7 @@
     gateway: Arc<Gateway>,
     listener: TcpListener,
     connections: Arc<Semaphore>,
+    max_connections: usize,
     mut closing: watch::Receiver<bool>,
 ) {
     loop {
@@ -86,8 +99,9 @@
         match accepted {
             Ok((stream, _)) => {
                 let (gateway, closing) = (Arc::clone(&gateway), closing.clone());
+                let crowd = Crowd(Arc::clone(&connections), max_connections);
                 tokio::spawn(async move {
-                    serve(gateway, stream, closing).await;
+                    serve(gateway, stream, crowd, closing).await;
                     drop(permit);
                 });
             }
@@ -99,6 +113,17 @@
     }
 }
 
+/// `Crowd` tells whether there are many connections; it holds the free places and their number.
+#[derive(Clone, Debug)]
+struct Crowd(Arc<Semaphore>, usize);
+
+impl Crowd {
+    fn is_crowded(&self) -> bool {
+        let open = self.1 - self.0.available_permits();
+        open as f64 > self.1 as f64 * CROWDED_PART
+    }
+}
+
 /// `Activity` tells whether a connection is idle, and since when.
 #[derive(Debug, Default)]
 struct Activity {
@@ -122,7 +147,12 @@
     }
 }
 
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+async fn serve(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    crowd: Crowd,
+    mut closing: watch::Receiver<bool>,
+) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(error:% = e; "connection without nodelay");
     }
@@ -130,11 +160,17 @@
     activity.change(&gateway);
     let service = {
         let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
+        let crowd = crowd.clone();
         service_fn(move |req| {
             let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
+            let is_crowded = crowd.is_crowded();
             async move {
                 activity.requests.fetch_add(1, Ordering::Relaxed);
-                let response = relay::handle(Arc::clone(&gateway), req).await;
+                let mut response = relay::handle(Arc::clone(&gateway), req).await;
+                if is_crowded {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
                 activity.requests.fetch_sub(1, Ordering::Relaxed);
                 activity.change(&gateway);
                 Ok::<_, Infallible>(response)
@@ -157,7 +193,11 @@
                 connection.await
             },
             () = tokio::time::sleep(IDLE_CHECK) => {
-                let limit = gateway.knowledge.table().map_or(DEFAULT_IDLE, |t| t.limits.idle_timeout);
+                let limit = if crowd.is_crowded() {
+                    CROWDED_IDLE
+                } else {
+                    gateway.knowledge.table().map_or(DEFAULT_IDLE, |t| t.limits.idle_timeout)
+                };
                 if activity.idle_for(gateway.clock.monotonic()) > limit {
                     connection.as_mut().graceful_shutdown();
                 }
--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -10,11 +10,13 @@
 use samphiresill_core::clock::Clock;
 use samphiresill_core::name::{DomainName, WorkName};
 use samphiresill_sched::fleet::account::Account;
+use samphiresill_sched::fleet::overload::Overload;
 
 use crate::callers;
 use crate::connection::pool::Pool;
 use crate::dialect::Dialect;
 use crate::knowledge::Knowledge;
+use crate::log_budget::LogBudget;
 use crate::peers::Peers;
 use crate::readiness;
 use crate::settings::Settings;
@@ -28,6 +30,8 @@
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// Pause between sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
+/// Pause between looks at the lateness of timers.
+const LAG_CHECK: Duration = Duration::from_millis(50);
 /// Part of the fleet's retry allowance that is used: routers do not count each other's retries.
 const RETRY_SAFETY: f64 = 0.8;
 
@@ -49,7 +53,11 @@
     pub domain: DomainName,
     /// Other gateways.
     pub peers: Arc<Peers>,
+    /// Bound on lines in the log.
+    pub lines: LogBudget,
     account: Mutex<Account>,
+    overload: Mutex<Overload>,
+    streams: Arc<AtomicUsize>,
     retries: Mutex<Budgets<WorkName>>,
     is_stopping: AtomicBool,
     at_work: Arc<AtomicUsize>,
@@ -82,10 +90,13 @@
             settings: ArcSwap::from_pointee(settings),
             targets: Pool::new(Arc::clone(&clock)),
             calls: Pool::new(Arc::clone(&clock)),
+            lines: LogBudget::new(Arc::clone(&clock)),
             clock,
             dialect,
             knowledge,
             account: Mutex::new(Account::new(origin)),
+            overload: Mutex::default(),
+            streams: Arc::default(),
             retries: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             at_work: Arc::default(),
@@ -106,6 +117,43 @@
         AtWork(Arc::clone(&self.at_work))
     }
 
+    /// Counts a stream while the value is held; nothing when the processor cannot relay it.
+    #[must_use]
+    pub fn begin_stream(&self) -> Option<AtWork> {
+        let streams = self.streams.load(Ordering::Acquire);
+        let now = self.clock.monotonic();
+        if !self.overload().admits(streams, now) {
+            return None;
+        }
+        self.streams.fetch_add(1, Ordering::AcqRel);
+        Some(AtWork(Arc::clone(&self.streams)))
+    }
+
+    fn overload(&self) -> MutexGuard<'_, Overload> {
+        self.overload.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Learns from late timers how many streams the processor can relay.
+    async fn watch_overload(self: Arc<Self>) {
+        let mut was_away = false;
+        loop {
+            let due = self.clock.monotonic() + LAG_CHECK;
+            tokio::time::sleep(LAG_CHECK).await;
+            let lag = self.clock.monotonic().saturating_sub(due);
+            let streams = self.streams.load(Ordering::Acquire);
+            let mut overload = self.overload();
+            overload.observe(lag, streams);
+            let is_away = overload.is_away(self.clock.monotonic());
+            if is_away != was_away {
+                log::warn!(
+                    is_away, streams, limit = overload.limit(), lag_ms = lag.as_millis() as u64;
+                    "processor overloaded, out of the balancer's rotation"
+                );
+            }
+            was_away = is_away;
+        }
+    }
+
     /// Requests that are at work.
     #[must_use]
     pub fn at_work(&self) -> usize {
@@ -115,7 +163,9 @@
     /// Whether the balancer should send callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.load(Ordering::Acquire) && self.knowledge.table().is_some()
+        !self.is_stopping.load(Ordering::Acquire)
+            && self.knowledge.table().is_some()
+            && !self.overload().is_away(self.clock.monotonic())
     }
 
     /// Counts an ordinary request of a service, which earns a part of a retry.
@@ -160,6 +210,7 @@
         let callers = callers::start(settings.listen.callers, Arc::clone(&self)).await?;
         tokio::spawn(Arc::clone(&self).follow_knowledge());
         tokio::spawn(Arc::clone(&self).sweep());
+        tokio::spawn(Arc::clone(&self).watch_overload());
         log::info!(vm:% = settings.vm, domain:% = settings.domain; "started");
         stop.await;
         log::info!(at_work = self.at_work(); "stopping");
--- a/samphiresill-gateway/src/lib.rs
+++ b/samphiresill-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dialect;
 pub mod gateway;
 pub mod knowledge;
+pub mod log_budget;
 pub mod peers;
 pub mod readiness;
 pub mod relay;
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -29,6 +29,8 @@
 const UNWATCHED_PER_RANK: Duration = Duration::from_millis(200);
 /// Time after the start in which the members find each other before duties are taken.
 const SETTLE: Duration = Duration::from_millis(700);
+/// Time after the start in which peers usually tell the configuration, if they know it.
+const TOLD_BY_PEERS: Duration = Duration::from_millis(250);
 /// Time for which a peer has to be ahead of a gateway that follows the store itself before its
 /// knowledge is fetched: the store usually tells everyone within that.
 const BEHIND: Duration = Duration::from_millis(300);
@@ -129,6 +131,9 @@
         let mut changes = self.gateway.knowledge.subscribe();
         let peers = Arc::clone(&self.peers);
         self.assign_roles();
+        let greeting = Frame::Load(self.empty_frame());
+        let seeds = self.gateway.settings.load().seeds.clone();
+        peers.send(&greeting, seeds.into_iter()).await;
         loop {
             tokio::select! {
                 received = peers.socket.recv_from(&mut buf) => match received {
@@ -153,7 +158,15 @@
                 let out = self.membership.receive(now, &from, message);
                 self.act(out).await;
             }
-            Ok(Frame::Load(frame)) => self.take_load(frame, from, now),
+            Ok(Frame::Load(frame)) => {
+                let is_older = frame.versions.revision < self.gateway.knowledge.versions().revision;
+                self.take_load(frame, from, now);
+                if is_older {
+                    // A gateway that has just started learns at once that there is more to know.
+                    let frame = Frame::Load(self.empty_frame());
+                    self.peers.send(&frame, std::iter::once(from)).await;
+                }
+            }
             Ok(Frame::Ask(frame)) => {
                 self.clients.insert(from, now);
                 let answer = asks::decide(&self.gateway, &frame);
@@ -287,16 +300,29 @@
     /// Follows the store when it is this gateway's duty, or when no other one seems to do it.
     fn decide_watching(&mut self, now: Duration) {
         if now.saturating_sub(self.started) < SETTLE {
+            self.decide_watching_at_start(now);
             return;
         }
+        // Whoever is cut off from all schedulers is one in its own view.
         let rank = self.roles.schedulers.iter().position(|m| m.vm == self.vm);
-        let rank = rank.unwrap_or(self.roles.schedulers.len());
-        let patience = UNWATCHED + UNWATCHED_PER_RANK * rank.saturating_sub(MAX_WATCHERS) as u32;
-        let is_unwatched = now.saturating_sub(self.watcher_heard_at) > patience;
-        let is_watcher = self.roles.is_watcher(&self.vm);
-        self.gateway
-            .knowledge
-            .set_watching(is_watcher || is_unwatched);
+        let is_wanted = rank.is_some_and(|rank| {
+            let patience = UNWATCHED_PER_RANK * rank.saturating_sub(MAX_WATCHERS) as u32;
+            let silence = now.saturating_sub(self.watcher_heard_at);
+            rank < MAX_WATCHERS || silence > UNWATCHED + patience
+        });
+        self.gateway.knowledge.set_watching(is_wanted);
+    }
+
+    /// The seeds follow the store at once, as all others ask them; these do it only when no peer
+    /// has told them a configuration.
+    fn decide_watching_at_start(&self, now: Duration) {
+        let seeds = &self.gateway.settings.load().seeds;
+        let is_seed = seeds.is_empty() || seeds.contains(&self.peers.own);
+        let is_known = self.gateway.knowledge.versions().revision > 0;
+        let is_late = now.saturating_sub(self.started) > TOLD_BY_PEERS;
+        if is_seed || (is_late && !is_known) {
+            self.gateway.knowledge.set_watching(true);
+        }
     }
 
     /// Tells other schedulers, or the scheduler of this gateway, of its load.
--- a/samphiresill-gateway/src/relay/answer.rs
+++ b/samphiresill-gateway/src/relay/answer.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -10,27 +9,21 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use tokio::sync::mpsc;
 
+use super::stream::Stream;
 use crate::gateway::AtWork;
 
-/// Pieces of a stream that wait for a caller who reads slowly; the target is not read meanwhile.
-pub const MAX_PIECES: usize = 8;
-
-/// `Piece` is a piece of a streamed body, or the reason why it breaks off.
-pub type Piece = Result<Bytes, io::Error>;
-
 #[derive(Debug)]
 enum Content {
     Whole(Option<Bytes>),
-    Stream(mpsc::Receiver<Piece>),
+    Stream(Box<Stream>),
 }
 
 /// `Answer` is the body of an answer to a caller; the request counts as at work until it ends.
 #[derive(Debug)]
 pub struct Answer {
     content: Content,
-    at_work: Option<Arc<AtWork>>,
+    at_work: Option<AtWork>,
 }
 
 impl Answer {
@@ -43,17 +36,17 @@
         }
     }
 
-    /// A body that arrives in pieces; the end of the channel is its end.
+    /// A body that arrives in pieces.
     #[must_use]
-    pub fn stream(pieces: mpsc::Receiver<Piece>) -> Self {
+    pub fn stream(stream: Stream) -> Self {
         Self {
-            content: Content::Stream(pieces),
+            content: Content::Stream(Box::new(stream)),
             at_work: None,
         }
     }
 
     /// Counts the request as at work until the body has ended.
-    pub fn hold(&mut self, at_work: Arc<AtWork>) {
+    pub fn hold(&mut self, at_work: AtWork) {
         self.at_work = Some(at_work);
     }
 }
@@ -68,8 +61,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match &mut self.content {
             Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Content::Stream(pieces) => pieces
-                .poll_recv(cx)
+            Content::Stream(stream) => stream
+                .poll_piece(cx)
                 .map(|piece| piece.map(|p| p.map(Frame::data))),
         }
     }
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -19,6 +19,7 @@
 use super::call::Call;
 use super::stream;
 use crate::gateway::{AtWork, Gateway};
+use crate::log_budget::Kind;
 
 /// Sends of one request at most, those included that a target refused unrun.
 const MAX_SENDS: usize = 3;
@@ -124,11 +125,13 @@
             may_try_again: self.may_try_again(&failure, now),
         };
         let verdict = failure::verdict(failure.point, situation);
-        log::info!(
-            request:% = self.call.request, target:%, point:% = failure.point,
-            cause = failure.cause.as_str(), verdict:%, runs = self.runs;
-            "attempt failed"
-        );
+        if self.gateway.lines.allows(Kind::Failed) {
+            log::info!(
+                request:% = self.call.request, target:%, point:% = failure.point,
+                cause = failure.cause.as_str(), verdict:%, runs = self.runs;
+                "attempt failed"
+            );
+        }
         match verdict {
             Verdict::Retry => {
                 self.tried.push(target);
@@ -206,11 +209,12 @@
     }
 }
 
-/// Serves a request that was read: attempts, then the answer.
+/// Serves a request that was read: attempts, then the answer. `stream` counts it among the
+/// streams that are relayed, until it ends.
 pub async fn forward(
     gateway: &Arc<Gateway>,
     call: Call,
-    at_work: &Arc<AtWork>,
+    stream: Option<AtWork>,
 ) -> Response<Answer> {
     gateway.earn_retries(&call.service);
     let call = Arc::new(call);
@@ -221,7 +225,7 @@
             Err(end) => return ended(gateway, &call, end),
         };
         if call.is_stream() && answering.head.status.is_success() {
-            return stream::start(attempts, running, answering, Arc::clone(at_work));
+            return stream::start(attempts, running, answering, stream);
         }
         match whole(gateway, &call, &mut running, &attempts, answering).await {
             Ok(response) => return response,
@@ -271,11 +275,13 @@
             ms: took.as_millis() as u32,
         }
     });
-    log::info!(
-        request:% = call.request, target:%, status = head.status.as_u16(),
-        ms = took.as_millis() as u64;
-        "answered"
-    );
+    if gateway.lines.allows(Kind::Served) {
+        log::info!(
+            request:% = call.request, target:%, status = head.status.as_u16(),
+            ms = took.as_millis() as u64;
+            "answered"
+        );
+    }
     Ok(pass_on(head, Answer::whole(bytes)))
 }
 
@@ -340,10 +346,18 @@
             (answer::local(StatusCode::BAD_GATEWAY, &reason), reason)
         }
     };
-    log::info!(
-        request:% = call.request, route = &*call.route.name, status = response.status().as_u16(),
-        reason = reason.as_str(), ms = took.as_millis() as u64;
-        "not served"
-    );
+    let kind = if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        Kind::Refused
+    } else {
+        Kind::Failed
+    };
+    if gateway.lines.allows(kind) {
+        log::info!(
+            request:% = call.request, route = &*call.route.name,
+            status = response.status().as_u16(), reason = reason.as_str(),
+            ms = took.as_millis() as u64;
+            "not served"
+        );
+    }
     response
 }
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -12,31 +12,54 @@
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use samphiresill_core::name::CustomerName;
 use samphiresill_core::routing::{Exchange, Route, RoutingTable};
+use samphiresill_sched::fleet::overload::Overload;
 
 use self::answer::Answer;
 use self::call::Call;
 use crate::dialect::CallerHead;
 use crate::gateway::Gateway;
+use crate::log_budget;
 
 /// Pause that is asked for while no configuration is known.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 
 /// Serves one request of a caller.
 pub async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Answer> {
-    let at_work = Arc::new(gateway.begin_work());
+    let at_work = gateway.begin_work();
     let started = gateway.clock.monotonic();
     let mut response = match read(&gateway, req, started).await {
-        Ok(call) => forward::forward(&gateway, call, &at_work).await,
+        Ok(call) => serve(&gateway, call).await,
         Err(refused) => refused,
     };
     response.body_mut().hold(at_work);
     response
 }
 
+/// Forwards a request, unless it is a stream that the processor cannot relay.
+async fn serve(gateway: &Arc<Gateway>, call: Call) -> Response<Answer> {
+    if !call.is_stream() {
+        return forward::forward(gateway, call, None).await;
+    }
+    match gateway.begin_stream() {
+        Some(stream) => forward::forward(gateway, call, Some(stream)).await,
+        None => {
+            if gateway.lines.allows(log_budget::Kind::Refused) {
+                log::info!(request:% = call.request; "refused, processor overloaded");
+            }
+            let delay = Overload::retry_after(rand::random());
+            let mut refusal = answer::refusal("router overloaded", delay);
+            // The balancer chooses a router for each new connection.
+            let close = HeaderValue::from_static("close");
+            refusal.headers_mut().insert(CONNECTION, close);
+            refusal
+        }
+    }
+}
+
 /// Reads a request whole and finds its route and its customer.
 async fn read(
     gateway: &Gateway,
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -1,49 +1,80 @@
 //! A stream of events on its way to a caller, continued by another run where that is allowed.
 //!
+//! The caller's connection polls the target's body directly, so that a caller who reads slowly
+//! slows its target, and one who leaves ends the run by dropping the body.
+//!
 //! Invariant: of a stream that may be resumed, only whole events are delivered, each id once and
 //! in rising order; the body ends as complete only if the last run's did.
 
 use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
+use bytes::{Bytes, BytesMut};
+use derive_more::Debug;
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming};
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_core::routing::Exchange;
 use samphiresill_sched::fleet::event::RunResult;
-use tokio::sync::mpsc;
+use tokio::time::Sleep;
 
-use super::answer::{self, Answer, Piece};
+use super::answer::Answer;
 use super::attempt::{Answering, Failure, Running};
 use super::call::Call;
 use super::events::Splitter;
-use super::forward::{self, Attempts};
+use super::forward::{self, Attempts, End};
 use crate::gateway::{AtWork, Gateway};
+use crate::log_budget::Kind;
 
 /// Silence after which a stream is resumed elsewhere, in multiples of the pause that is still on
 /// time: callers give up after eight.
 const SILENCE_PAUSES: u32 = 4;
 /// The pause that is assumed when a route names none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between notes of progress of one stream: short against the time after which a target
+/// counts as stalled.
+const NOTE_EVERY: Duration = Duration::from_millis(100);
+/// How the log names the end of a stream that is whole.
+const COMPLETE: &str = "complete";
 
-enum Relayed {
-    Complete,
-    CallerGone,
-    TimeUp,
-    Broken(Failure),
+type Next = Pin<Box<dyn Future<Output = (Attempts, Result<(Running, Answering), End>)> + Send>>;
+
+#[derive(Debug)]
+enum State {
+    /// A run answers.
+    #[debug("relaying")]
+    Relaying {
+        attempts: Attempts,
+        running: Running,
+        answering: Answering,
+    },
+    /// The last run has failed, and another one is being sent.
+    #[debug("resuming")]
+    Resuming(Next),
+    /// Nothing follows.
+    Ended,
 }
 
-struct Pump {
+/// `Stream` is the body of an answer that arrives as events.
+#[derive(Debug)]
+pub struct Stream {
+    state: State,
+    #[debug(skip)]
     gateway: Arc<Gateway>,
     call: Arc<Call>,
-    tx: mpsc::Sender<Piece>,
     is_resumable: bool,
+    splitter: Splitter,
     last_id: Option<String>,
     events: u64,
     first_at: Option<Duration>,
+    progress_at: Duration,
+    noted_at: Option<Duration>,
+    timer: Pin<Box<Sleep>>,
+    /// Counts the stream among those that the processor relays.
+    held: Option<AtWork>,
 }
 
 /// Begins to relay a stream; the answer keeps the head of its first run.
@@ -51,150 +82,130 @@
     attempts: Attempts,
     running: Running,
     answering: Answering,
-    at_work: Arc<AtWork>,
+    held: Option<AtWork>,
 ) -> Response<Answer> {
-    let (tx, rx) = mpsc::channel(answer::MAX_PIECES);
     let (gateway, call) = attempts.parts();
     let head = answering.head.clone();
-    let pump = Pump {
+    let now = gateway.clock.monotonic();
+    let stream = Stream {
         is_resumable: call.route.exchange == Exchange::Generation { is_resumable: true },
+        timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
+        state: State::Relaying {
+            attempts,
+            running,
+            answering,
+        },
         gateway,
         call,
-        tx,
+        splitter: Splitter::default(),
         last_id: None,
         events: 0,
         first_at: None,
+        progress_at: now,
+        noted_at: None,
+        held,
     };
-    tokio::spawn(async move {
-        pump.run(attempts, running, answering).await;
-        drop(at_work);
-    });
-    forward::pass_on(head, Answer::stream(rx))
+    forward::pass_on(head, Answer::stream(stream))
 }
 
-impl Pump {
-    async fn run(mut self, mut attempts: Attempts, running: Running, answering: Answering) {
-        let mut current = (running, answering);
-        loop {
-            let (mut running, answering) = current;
-            let failure = match self.relay(&mut running, answering).await {
-                Relayed::Complete => return self.log(&running, "complete"),
-                Relayed::CallerGone => return self.log(&running, "caller gone"),
-                Relayed::TimeUp => return self.break_off(&running, "time is up").await,
-                Relayed::Broken(failure) => failure,
-            };
-            let cause = failure.cause.clone();
-            if attempts.after(&mut running, failure).is_err() {
-                return self.break_off(&running, &cause).await;
-            }
-            let resume_after = self.last_id.clone();
-            let resume_after = resume_after.as_deref().or(self.call.last_event.as_deref());
-            // The failed run has ended before the next one is placed.
-            let target = running.placement.target.clone();
-            drop(running);
-            current = match attempts.next(resume_after).await {
-                Ok(next) if next.1.head.status.is_success() => next,
-                _ => {
-                    log::warn!(request:% = self.call.request, target:%; "stream not resumed");
-                    let lost = io::Error::other("the stream could not be resumed");
-                    // A caller that is gone needs no error.
-                    let _ = self.tx.send(Err(lost)).await;
-                    return;
-                }
-            };
-        }
-    }
+/// What a poll of the present run has brought.
+enum Polled {
+    Bytes(Bytes),
+    Complete,
+    TimeUp,
+    Broken(Failure),
+}
 
-    /// Relays one run until it ends in some way.
-    async fn relay(&mut self, running: &mut Running, answering: Answering) -> Relayed {
-        let Answering {
-            head,
-            mut body,
-            connection,
-        } = answering;
-        let mut splitter = Splitter::default();
+impl Stream {
+    /// The next piece for the caller; nothing after the end.
+    pub fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         loop {
-            let bytes = match self.next_bytes(&mut body).await {
-                Ok(Some(bytes)) => bytes,
-                Ok(None) if splitter.has_rest() => {
-                    let cause = "the stream ended within an event";
-                    return Relayed::Broken(Failure::new(FailurePoint::DuringAnswer, cause));
+            match &mut self.state {
+                State::Ended => return Poll::Ready(None),
+                State::Resuming(next) => {
+                    let (attempts, result) = ready!(next.as_mut().poll(cx));
+                    if let Err(cause) = self.resume(attempts, result) {
+                        return Poll::Ready(Some(Err(self.break_off(&cause))));
+                    }
                 }
-                Ok(None) => break,
-                Err(ended) => return ended,
-            };
-            self.note_progress(running);
-            let is_delivered = if self.is_resumable {
-                splitter.push(&bytes);
-                if splitter.is_overlong() {
-                    let cause = "an event is too long";
-                    return Relayed::Broken(Failure::new(FailurePoint::DuringAnswer, cause));
+                State::Relaying { answering, .. } => {
+                    let body = Pin::new(&mut answering.body);
+                    let polled = match poll_body(body, cx) {
+                        Poll::Ready(polled) => polled,
+                        Poll::Pending => ready!(self.poll_timer(cx)),
+                    };
+                    match polled {
+                        Polled::Bytes(bytes) => {
+                            self.note_progress();
+                            match self.whole_events(&bytes) {
+                                Ok(bytes) if bytes.is_empty() => {}
+                                Ok(bytes) => return Poll::Ready(Some(Ok(bytes))),
+                                Err(failure) => {
+                                    if let Some(error) = self.fail(failure) {
+                                        return Poll::Ready(Some(Err(error)));
+                                    }
+                                }
+                            }
+                        }
+                        Polled::Complete if self.splitter.has_rest() => {
+                            let cause = "the stream ended within an event";
+                            let failure = Failure::new(FailurePoint::DuringAnswer, cause);
+                            if let Some(error) = self.fail(failure) {
+                                return Poll::Ready(Some(Err(error)));
+                            }
+                        }
+                        Polled::Complete => {
+                            self.complete();
+                            return Poll::Ready(None);
+                        }
+                        Polled::TimeUp => {
+                            return Poll::Ready(Some(Err(self.break_off("time is up"))));
+                        }
+                        Polled::Broken(failure) => {
+                            if let Some(error) = self.fail(failure) {
+                                return Poll::Ready(Some(Err(error)));
+                            }
+                        }
+                    }
                 }
-                self.deliver_events(&mut splitter).await
-            } else {
-                self.events += 1;
-                self.tx.send(Ok(bytes)).await.is_ok()
-            };
-            if !is_delivered {
-                return Relayed::CallerGone;
             }
         }
-        let address = running.placement.address;
-        self.gateway
-            .targets
-            .release(address, connection, &head.headers);
-        let took = self
-            .gateway
-            .clock
-            .monotonic()
-            .saturating_sub(self.call.started);
-        running.show(RunResult::Answered {
-            ms: took.as_millis() as u32,
-        });
-        Relayed::Complete
     }
 
-    async fn next_bytes(&self, body: &mut Incoming) -> Result<Option<Bytes>, Relayed> {
-        let now = self.gateway.clock.monotonic();
-        let time_left = self.call.time_left(now);
-        let pause = self.call.route.pause_aim.unwrap_or(DEFAULT_PAUSE);
-        let silence = if self.is_resumable {
-            pause * SILENCE_PAUSES
-        } else {
-            time_left
-        };
+    /// Looks whether the target has been silent for too long, or the time is up.
+    fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Polled> {
         loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = self.tx.closed() => return Err(Relayed::CallerGone),
-                () = tokio::time::sleep(time_left.min(silence)) => {
-                    return Err(if time_left <= silence {
-                        Relayed::TimeUp
-                    } else {
-                        let cause = "no event for too long";
-                        Relayed::Broken(Failure::new(FailurePoint::Silence, cause))
-                    });
+            ready!(self.timer.as_mut().poll(cx));
+            let now = self.gateway.clock.monotonic();
+            let time_left = self.call.time_left(now);
+            if time_left.is_zero() {
+                return Poll::Ready(Polled::TimeUp);
+            }
+            let pause = self.call.route.pause_aim.unwrap_or(DEFAULT_PAUSE);
+            let silent_at = self.progress_at + pause * SILENCE_PAUSES;
+            let wait = if self.is_resumable {
+                if now >= silent_at {
+                    let cause = "no event for too long";
+                    let failure = Failure::new(FailurePoint::Silence, cause);
+                    return Poll::Ready(Polled::Broken(failure));
                 }
+                time_left.min(silent_at - now)
+            } else {
+                time_left
             };
-            match frame {
-                None => return Ok(None),
-                Some(Ok(frame)) => {
-                    // Trailers concern only the connection.
-                    if let Ok(bytes) = frame.into_data() {
-                        return Ok(Some(bytes));
-                    }
-                }
-                Some(Err(e)) => {
-                    let failure = Failure::new(FailurePoint::DuringAnswer, e.to_string());
-                    return Err(Relayed::Broken(failure));
-                }
-            }
+            self.timer.set(tokio::time::sleep(wait));
         }
     }
 
-    /// Delivers the whole events that have arrived; false when the caller is gone.
-    async fn deliver_events(&mut self, splitter: &mut Splitter) -> bool {
-        while let Some(event) = splitter.next_event() {
+    /// Bytes that may be delivered now: whole events that were not delivered before.
+    fn whole_events(&mut self, bytes: &Bytes) -> Result<Bytes, Failure> {
+        if !self.is_resumable {
+            self.events += 1;
+            return Ok(bytes.clone());
+        }
+        self.splitter.push(bytes);
+        let mut whole = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
             if self.is_repeated(event.id.as_deref()) {
                 continue;
             }
@@ -202,11 +213,13 @@
                 self.last_id = event.id;
             }
             self.events += 1;
-            if self.tx.send(Ok(event.bytes)).await.is_err() {
-                return false;
-            }
+            whole.extend_from_slice(&event.bytes);
+        }
+        if self.splitter.is_overlong() {
+            let cause = "an event is too long";
+            return Err(Failure::new(FailurePoint::DuringAnswer, cause));
         }
-        true
+        Ok(whole.freeze())
     }
 
     /// Whether an event with this id or a later one has been delivered.
@@ -219,28 +232,123 @@
         }
     }
 
-    fn note_progress(&mut self, running: &Running) {
-        let now = self.gateway.clock.monotonic();
-        self.gateway.account().progress(&running.placement, now);
-        if self.first_at.is_none() {
-            self.first_at = Some(now);
+    /// Ends the present run; another one follows, or the error for the caller is returned.
+    fn fail(&mut self, failure: Failure) -> Option<io::Error> {
+        let state = std::mem::replace(&mut self.state, State::Ended);
+        let State::Relaying {
+            mut attempts,
+            mut running,
+            answering,
+        } = state
+        else {
+            return Some(self.break_off("invariant: only a run fails"));
+        };
+        let cause = failure.cause.clone();
+        let is_over = attempts.after(&mut running, failure).is_err();
+        // The failed run ends before the next one is placed.
+        drop(answering);
+        drop(running);
+        if is_over {
+            return Some(self.break_off(&cause));
+        }
+        let resume_after = self.last_id.clone();
+        let resume_after = resume_after.or(self.call.last_event.as_deref().map(str::to_owned));
+        self.state = State::Resuming(Box::pin(async move {
+            let result = attempts.next(resume_after.as_deref()).await;
+            (attempts, result)
+        }));
+        None
+    }
+
+    fn resume(
+        &mut self,
+        attempts: Attempts,
+        result: Result<(Running, Answering), End>,
+    ) -> Result<(), String> {
+        let (running, answering) = result.map_err(|end| format!("not resumed: {end:?}"))?;
+        let status = answering.head.status;
+        if !status.is_success() {
+            return Err(format!("not resumed: status {status}"));
+        }
+        self.splitter = Splitter::default();
+        self.progress_at = self.gateway.clock.monotonic();
+        self.state = State::Relaying {
+            attempts,
+            running,
+            answering,
+        };
+        Ok(())
+    }
+
+    fn complete(&mut self) {
+        self.log(COMPLETE);
+        let state = std::mem::replace(&mut self.state, State::Ended);
+        self.held = None;
+        if let State::Relaying {
+            mut running,
+            answering,
+            ..
+        } = state
+        {
+            let now = self.gateway.clock.monotonic();
+            let took = now.saturating_sub(self.call.started);
+            running.show(RunResult::Answered {
+                ms: took.as_millis() as u32,
+            });
+            let Answering {
+                head, connection, ..
+            } = answering;
+            let address = running.placement.address;
+            self.gateway
+                .targets
+                .release(address, connection, &head.headers);
         }
     }
 
-    async fn break_off(&self, running: &Running, cause: &str) {
-        self.log(running, cause);
-        // A caller that is gone needs no error.
-        let _ = self.tx.send(Err(io::Error::other(cause.to_owned()))).await;
+    fn break_off(&mut self, cause: &str) -> io::Error {
+        self.log(cause);
+        self.state = State::Ended;
+        self.held = None;
+        io::Error::other(cause.to_owned())
     }
 
-    fn log(&self, running: &Running, end: &str) {
+    fn note_progress(&mut self) {
+        let now = self.gateway.clock.monotonic();
+        self.progress_at = now;
+        self.first_at.get_or_insert(now);
+        let is_due = self
+            .noted_at
+            .is_none_or(|at| now.saturating_sub(at) >= NOTE_EVERY);
+        if let State::Relaying { running, .. } = &self.state
+            && is_due
+        {
+            self.noted_at = Some(now);
+            self.gateway.account().progress(&running.placement, now);
+        }
+    }
+
+    fn log(&self, end: &str) {
+        let kind = if end == COMPLETE {
+            Kind::Served
+        } else {
+            Kind::Failed
+        };
+        if !self.gateway.lines.allows(kind) {
+            return;
+        }
+        let placement = match &self.state {
+            State::Relaying { running, .. } => Some(&running.placement),
+            _ => None,
+        };
+        let target = placement.map_or("none", |p| &p.target);
+        let estimate = placement.and_then(|p| p.estimate).unwrap_or_default();
+        let expected = placement.map_or(Duration::ZERO, |p| p.expected);
         let now = self.gateway.clock.monotonic();
         let since = |at: Duration| at.saturating_sub(self.call.started).as_millis() as u64;
-        let estimate = running.placement.estimate.unwrap_or_default();
         log::info!(
             request:% = self.call.request, route = &*self.call.route.name,
-            target:% = running.placement.target, end, events = self.events,
-            expected_ms = running.placement.expected.as_millis() as u64,
+            target, end, events = self.events,
+            expected_ms = expected.as_millis() as u64,
             wait_ms = estimate.wait.as_millis() as u64, unread = estimate.unread_tokens,
             copied = estimate.copied_tokens, runs = estimate.runs, rate = estimate.rate,
             pace_ms = estimate.pace_ms,
@@ -249,3 +357,17 @@
         );
     }
 }
+
+fn poll_body(mut body: Pin<&mut Incoming>, cx: &mut Context<'_>) -> Poll<Polled> {
+    loop {
+        return Poll::Ready(match ready!(body.as_mut().poll_frame(cx)) {
+            None => Polled::Complete,
+            Some(Ok(frame)) => match Frame::into_data(frame) {
+                Ok(bytes) => Polled::Bytes(bytes),
+                // Trailers concern only the connection.
+                Err(_) => continue,
+            },
+            Some(Err(e)) => Polled::Broken(Failure::new(FailurePoint::DuringAnswer, e.to_string())),
+        });
+    }
+}
