Let requests wait for room that comes in time, count kept parts once, treat returns like fresh requests

Kept parts fill what outputs leave. Parts that are still being read are not copied. Conclusion: kept.

--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -74,6 +74,8 @@
     pub domain: DomainName,
     /// Targets that were tried already.
     pub tried: Vec<TargetName>,
+    /// How long the request has waited for room.
+    pub waited: Duration,
     /// Whether the request has run before.
     pub has_run: bool,
 }
@@ -91,6 +93,7 @@
             time_left: ask.time_left,
             domain: ask.domain.clone(),
             tried: ask.tried.to_vec(),
+            waited: ask.waited,
             has_run: ask.has_run,
         }
     }
@@ -106,6 +109,7 @@
             time_left: self.time_left,
             domain: &self.domain,
             tried: &self.tried,
+            waited: self.waited,
             has_run: self.has_run,
         }
     }
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -90,7 +90,8 @@
                     has_run: self.runs > 0,
                 });
             }
-            let mut running = self.place(time_left).await?;
+            let mut running = self.place().await?;
+            let time_left = self.call.time_left(self.gateway.clock.monotonic());
             let limit = self.limit(time_left, running.placement.expected);
             let sent = attempt::send(
                 &self.gateway,
@@ -158,21 +159,32 @@
             && self.tried.len() + 1 < MAX_SENDS
     }
 
-    async fn place(&self, time_left: Duration) -> Result<Running, End> {
-        let ask = Ask {
-            customer: self.call.customer.as_ref(),
-            service: &self.call.service,
-            generation: self.call.generation.as_ref(),
-            aim: self.call.route.aim,
-            time_left,
-            domain: &self.gateway.domain,
-            tried: &self.tried,
-            has_run: self.runs > 0,
-        };
-        match self.gateway.peers.place(&self.gateway, &ask).await {
-            Ok(placement) => Ok(Running::new(Arc::clone(&self.gateway), placement)),
-            Err(_) if self.runs > 0 => Err(End::Lost(FailurePoint::Connect)),
-            Err(refusal) => Err(End::Refused(refusal)),
+    /// Finds a target; a request for which there will be room soon waits for it.
+    async fn place(&self) -> Result<Running, End> {
+        let began = self.gateway.clock.monotonic();
+        loop {
+            let now = self.gateway.clock.monotonic();
+            let ask = Ask {
+                customer: self.call.customer.as_ref(),
+                service: &self.call.service,
+                generation: self.call.generation.as_ref(),
+                aim: self.call.route.aim,
+                time_left: self.call.time_left(now),
+                domain: &self.gateway.domain,
+                tried: &self.tried,
+                waited: now.saturating_sub(began),
+                has_run: self.runs > 0,
+            };
+            match self.gateway.peers.place(&self.gateway, &ask).await {
+                Ok(placement) => {
+                    return Ok(Running::new(Arc::clone(&self.gateway), placement));
+                }
+                Err(refusal) => match refusal.look_again {
+                    Some(pause) => tokio::time::sleep(pause).await,
+                    None if self.runs > 0 => return Err(End::Lost(FailurePoint::Connect)),
+                    None => return Err(End::Refused(refusal)),
+                },
+            }
         }
     }
 
--- a/samphiresill-sched/src/fleet/account/mod.rs
+++ b/samphiresill-sched/src/fleet/account/mod.rs
@@ -12,13 +12,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use samphiresill_core::name::TargetName;
+use samphiresill_core::name::{CustomerName, TargetName};
 use samphiresill_core::routing::{RoutingTable, TargetEntry};
 use serde::{Deserialize, Serialize};
 
 use self::target::{Load, Target};
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
+use super::holding::{Held, Holding};
 use super::pace::PaceTarget;
 use super::shares::Shares;
 use super::work::{Ask, RunId};
@@ -57,6 +58,8 @@
     targets: BTreeMap<TargetName, Target>,
     shares: Shares,
     pace: PaceTarget,
+    holding: Holding,
+    held: Held,
     refused: BTreeMap<u64, Duration>,
     outbox: Vec<Event>,
 }
@@ -71,6 +74,8 @@
             targets: BTreeMap::new(),
             shares: Shares::default(),
             pace: PaceTarget::default(),
+            holding: Holding::default(),
+            held: Held::default(),
             refused: BTreeMap::new(),
             outbox: Vec::new(),
         }
@@ -155,6 +160,11 @@
         }
     }
 
+    /// What a customer has received of late against the fair level; 1 at the level.
+    pub fn share_ratio(&mut self, customer: &CustomerName, now: Duration) -> f64 {
+        self.shares.ratio(customer, now)
+    }
+
     /// Events for the other routers since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.outbox)
@@ -201,6 +211,7 @@
     /// Does what time brings about: forgets runs whose end was never heard, and tells others of
     /// targets that have stalled.
     pub fn sweep(&mut self, now: Duration) {
+        self.holding.recover();
         let oldest = now.saturating_sub(MAX_RUN_AGE);
         let mut over = Vec::new();
         for (name, target) in &self.targets {
--- a/samphiresill-sched/src/fleet/account/place.rs
+++ b/samphiresill-sched/src/fleet/account/place.rs
@@ -34,6 +34,8 @@
     expected: Duration,
     estimate: Option<Estimate>,
     copy_from: Option<SocketAddr>,
+    /// Prompt tokens that all engines of the service read in a millisecond.
+    fleet_rate: f64,
 }
 
 impl Account {
@@ -77,7 +79,7 @@
     ) -> Result<Best, Refusal> {
         let fingerprint = fingerprint(ask.customer, generation);
         let is_return = self.is_return(fingerprint, now);
-        let is_fresh = ask.tried.is_empty() && !is_return;
+        let is_fresh = ask.tried.is_empty() && ask.waited.is_zero() && !is_return;
         let cost = if is_fresh { generation.cost() } else { 0 };
         if is_fresh {
             self.pace.observe(ask);
@@ -85,17 +87,24 @@
         if let Some(customer) = ask.customer.filter(|_| is_fresh) {
             self.shares.ask(customer, cost, now);
         }
+        self.held.remove(fingerprint);
         let chosen = self
             .best_engine(ask, generation, now)
             .map_err(|reason| Refusal {
                 reason,
                 retry_after: admission::retry_after(NO_TARGET_RETRY, ask.time_left, draw),
+                look_again: None,
             })
             .and_then(|best| {
-                self.admit(ask, &best, is_return, draw, now)?;
+                self.admit(ask, &best, draw, now)
+                    .inspect_err(|refusal| self.hold(fingerprint, &best, refusal, now))?;
                 Ok(best)
             });
-        if chosen.is_err() {
+        let is_held = matches!(&chosen, Err(refusal) if refusal.look_again.is_some());
+        if !ask.waited.is_zero() && !is_held {
+            self.holding.observe(chosen.is_ok());
+        }
+        if chosen.is_err() && !is_held {
             self.remember_refused(fingerprint, now);
             self.outbox.push(Event::Refused {
                 fingerprint,
@@ -110,7 +119,6 @@
         &mut self,
         ask: &Ask<'_>,
         best: &Best,
-        is_return: bool,
         draw: f64,
         now: Duration,
     ) -> Result<(), Refusal> {
@@ -124,13 +132,23 @@
             pace_ms: estimate.pace_before_ms,
             pace_target_ms: self.pace.ms(),
             aim: ask.aim,
+            waited: ask.waited,
+            queue: self.held.queue(best.fleet_rate, now),
+            holding: self.holding,
             time_left: ask.time_left,
             share_ratio,
-            is_return,
             draw,
         })
     }
 
+    /// Counts a request that is to wait.
+    fn hold(&mut self, fingerprint: u64, best: &Best, refusal: &Refusal, now: Duration) {
+        if let Some(pause) = refusal.look_again {
+            let tokens = best.estimate.map_or(0, |e| e.unread_tokens);
+            self.held.insert(fingerprint, tokens, now + pause);
+        }
+    }
+
     /// The engine at which a request costs everyone least.
     fn best_engine(
         &self,
@@ -140,12 +158,14 @@
     ) -> Result<Best, Reason> {
         let mut reason = Reason::NoTarget;
         let mut best: Option<(f64, &Target, Estimate)> = None;
+        let mut fleet_rate = 0.0;
         let holder = self.holder(ask, generation, now);
         let kept_elsewhere = holder.map_or(0, |(_, tokens)| tokens);
         for target in self.usable(ask, now) {
             let Load::Engine(load) = &target.load else {
                 continue;
             };
+            fleet_rate += load.rate();
             if !load.has_room(generation) {
                 reason = Reason::NoRoom;
                 continue;
@@ -164,6 +184,7 @@
             expected: estimate.first_event(),
             estimate: Some(estimate),
             copy_from: source.map(|(address, _)| address),
+            fleet_rate,
         })
     }
 
@@ -176,7 +197,7 @@
     ) -> Option<(SocketAddr, u32)> {
         let engines = self.targets.values().filter_map(|t| match &t.load {
             Load::Engine(load) if t.entry.service == *ask.service && t.health.is_usable(now) => {
-                Some((t.entry.address, load.cached_tokens(generation)))
+                Some((t.entry.address, load.copyable_tokens(generation, now)))
             }
             _ => None,
         });
@@ -199,6 +220,7 @@
             return Err(Refusal {
                 reason: Reason::NoTarget,
                 retry_after,
+                look_again: None,
             });
         };
         if expected > ask.time_left {
@@ -206,6 +228,7 @@
             return Err(Refusal {
                 reason: Reason::Wait,
                 retry_after,
+                look_again: None,
             });
         }
         Ok(Best {
@@ -214,6 +237,7 @@
             expected,
             estimate: None,
             copy_from: None,
+            fleet_rate: 0.0,
         })
     }
 
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -1,23 +1,24 @@
 //! Whether a request is taken now or refused at once.
 //!
 //! Answers the load pattern in which more work arrives than can begin in time. The wait before
-//! the best engine is the price of admission; how much of it a request may cause depends on what
-//! its customer has received of late and on whether it was refused before. The size of the
-//! request itself does not count, so that large ones are not starved.
+//! the best engine and the pace of its streams are the price of admission; how much of them a
+//! request may meet depends on what its customer has received of late. The size of the request
+//! itself does not count, so that large ones are not starved. A request that returns after a
+//! refusal is treated like a fresh one: a preference for it loads engines beyond their pace.
 
 use std::time::Duration;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use super::holding::Holding;
+
 /// Part of its aim that a request may wait.
 const WAIT_PART: f64 = 0.6;
 /// Factor on wait and pace for a customer above the fair level.
-const ABOVE_LEVEL: f64 = 0.6;
+const ABOVE_LEVEL: f64 = 0.7;
 /// Time in which an engine that is loaded to twice the pace recovers.
 const PACE_RECOVERY: Duration = Duration::from_millis(1_500);
-/// Factor for a request that was refused before: it should not be refused twice.
-const RETURN_FACTOR: f64 = 1.4;
 /// Time constant with which a customer's service is forgotten, as in the shares.
 const SHARE_MEMORY_S: f64 = 2.0;
 /// Shortest pause that a refused caller is asked for.
@@ -49,6 +50,9 @@
     pub reason: Reason,
     /// When the caller should return.
     pub retry_after: Duration,
+    /// When the router should look for room again instead of refusing the request; nothing when
+    /// the refusal is final.
+    pub look_again: Option<Duration>,
 }
 
 /// `Candidate` is what a decision on one request depends on.
@@ -62,12 +66,16 @@
     pub pace_target_ms: f64,
     /// Aim of the request.
     pub aim: Duration,
+    /// How long the request has waited in its router.
+    pub waited: Duration,
+    /// Time that the engines need for the requests that wait in routers already.
+    pub queue: Duration,
+    /// How long it may wait.
+    pub holding: Holding,
     /// Time that is left to the caller.
     pub time_left: Duration,
     /// Service of the customer against the fair level.
     pub share_ratio: f64,
-    /// Whether the request was refused before.
-    pub is_return: bool,
     /// Uniform over 0 to 1, to spread returns.
     pub draw: f64,
 }
@@ -78,12 +86,7 @@
 /// The refusal, with the time at which a return is likely to be taken.
 pub fn decide(candidate: &Candidate) -> Result<(), Refusal> {
     let is_above = candidate.share_ratio > 1.0;
-    let part = if is_above { ABOVE_LEVEL } else { 1.0 };
-    let factor = if candidate.is_return {
-        part * RETURN_FACTOR
-    } else {
-        part
-    };
+    let factor = if is_above { ABOVE_LEVEL } else { 1.0 };
     let allowed = candidate.aim.mul_f64(WAIT_PART * factor);
     let pace = candidate.pace_ms / (candidate.pace_target_ms * factor);
     if candidate.wait <= allowed && pace <= 1.0 {
@@ -104,6 +107,12 @@
             Reason::Wait
         },
         retry_after: retry_after(excess.max(share_wait), candidate.time_left, candidate.draw),
+        look_again: candidate.holding.look_again(
+            candidate.aim,
+            candidate.waited,
+            excess.max(share_wait) + candidate.queue,
+            candidate.draw,
+        ),
     })
 }
 
--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -52,6 +52,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Run {
     memory_tokens: u64,
+    output_tokens: u64,
     /// Prompt tokens to read; nothing once the first token has come.
     unread: Option<u32>,
     since: Duration,
@@ -67,6 +68,7 @@
     reading_ms: f64,
     read_tokens: f64,
     memory_tokens: u64,
+    output_tokens: u64,
     unread_tokens: u64,
     /// Prompt tokens to read of late, faded out with age, as of `load_at`.
     load_tokens: f64,
@@ -121,6 +123,7 @@
             reading_ms: FIRST_RATE_MS,
             read_tokens: FIRST_RATE * FIRST_RATE_MS,
             memory_tokens: 0,
+            output_tokens: 0,
             unread_tokens: 0,
             load_tokens: 0.0,
             load_at: Duration::ZERO,
@@ -161,6 +164,12 @@
         self.prefixes.cached_tokens(&generation.parts)
     }
 
+    /// Tokens at the start of a prompt that another engine can copy from there now.
+    #[must_use]
+    pub fn copyable_tokens(&self, generation: &Generation, now: Duration) -> u32 {
+        self.prefixes.copyable_tokens(&generation.parts, now)
+    }
+
     /// What a request would meet there now, when another engine keeps `kept_elsewhere` tokens of
     /// its prompt.
     #[must_use]
@@ -204,17 +213,21 @@
         let memory_tokens = generation.memory_tokens();
         let entry = Run {
             memory_tokens,
+            output_tokens: u64::from(generation.output_tokens),
             unread: Some(unread),
             since: now,
         };
         if self.runs.insert(run, entry).is_none() {
             self.memory_tokens += memory_tokens;
+            self.output_tokens += u64::from(generation.output_tokens);
             self.unread_tokens += u64::from(unread);
             self.load_tokens = self.load_tokens(now) + f64::from(unread);
             self.load_at = now;
         }
-        let spare = u64::from(self.spec.memory_tokens).saturating_sub(self.memory_tokens);
-        self.prefixes.touch(&generation.parts, spare, now);
+        // The prompts that run are among the parts that are kept; what is generated is not.
+        let spare = u64::from(self.spec.memory_tokens).saturating_sub(self.output_tokens);
+        let read_at = now + self.wait(now) + self.time_for(u64::from(LATENCY_TOKENS));
+        self.prefixes.touch(&generation.parts, spare, read_at, now);
     }
 
     /// Notes the first event of a request.
@@ -243,6 +256,7 @@
             return;
         };
         self.memory_tokens -= entry.memory_tokens;
+        self.output_tokens -= entry.output_tokens;
         if let Some(unread) = entry.unread {
             self.unread_tokens -= u64::from(unread);
             self.head_since = now;
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 //! - the same prompt parts are read again by every engine: [`prefix`];
 //! - one customer sends many times its usual: [`shares`];
 //! - more work arrives than can start in time: [`admission`];
+//! - requests arrive in clumps: [`holding`];
 //! - one router gets more callers than its processor can serve: [`overload`];
 //! - a target fails, stalls or turns slow under load: [`health`].
 
@@ -18,6 +19,7 @@
 pub mod engine;
 pub mod event;
 pub mod health;
+pub mod holding;
 pub mod overload;
 pub mod pace;
 pub mod plain;
--- a/samphiresill-sched/src/fleet/prefix.rs
+++ b/samphiresill-sched/src/fleet/prefix.rs
@@ -14,6 +14,8 @@
 struct Kept {
     tokens: u32,
     used_at: Duration,
+    /// When it has been read, and can be copied.
+    read_at: Duration,
 }
 
 /// `PrefixCache` estimates which parts an engine keeps: those most recently used.
@@ -34,13 +36,22 @@
             .sum()
     }
 
-    /// Notes that a request with these parts runs; the least recently used parts beyond
-    /// `capacity` tokens are dropped.
-    pub fn touch(&mut self, parts: &[PromptPart], capacity: u64, now: Duration) {
+    /// Tokens at the start of a prompt that another engine can copy now.
+    #[must_use]
+    pub fn copyable_tokens(&self, parts: &[PromptPart], now: Duration) -> u32 {
+        let is_read = |p: &&PromptPart| self.kept.get(&p.id).is_some_and(|k| k.read_at <= now);
+        parts.iter().take_while(is_read).map(|p| p.tokens).sum()
+    }
+
+    /// Notes that a request with these parts runs, and that they will have been read at
+    /// `read_at`; the least recently used parts beyond `capacity` tokens are dropped.
+    pub fn touch(&mut self, parts: &[PromptPart], capacity: u64, read_at: Duration, now: Duration) {
         for part in parts {
+            let before = self.kept.get(&part.id).map(|k| k.read_at);
             let kept = Kept {
                 tokens: part.tokens,
                 used_at: now,
+                read_at: before.unwrap_or(read_at).min(read_at),
             };
             self.tokens += u64::from(part.tokens);
             if let Some(old) = self.kept.insert(part.id, kept) {
--- a/samphiresill-sched/src/fleet/tests/world.rs
+++ b/samphiresill-sched/src/fleet/tests/world.rs
@@ -114,6 +114,7 @@
             time_left: self.timeout,
             domain,
             tried: &[],
+            waited: Duration::ZERO,
             has_run: false,
         }
     }
--- a/samphiresill-sched/src/fleet/work.rs
+++ b/samphiresill-sched/src/fleet/work.rs
@@ -79,6 +79,8 @@
     pub domain: &'a DomainName,
     /// Targets that were tried already.
     pub tried: &'a [TargetName],
+    /// How long the request has waited for room.
+    pub waited: Duration,
     /// Whether the request has run, or part of it: it is then placed before fresh ones.
     pub has_run: bool,
 }
