Do not set targets aside that all fail, believe reports of stalls only against no other sign of life

Change: at most one target in three is set aside for failing; a stall that another router reports counts only while nobody has seen the target work. Targets that come, go, are set aside or used again are in the log.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! One gateway, put together from its parts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,7 +9,8 @@
 use arc_swap::ArcSwap;
 use samphiresill_attempt::budget::{self, Budgets};
 use samphiresill_core::clock::Clock;
-use samphiresill_core::name::{DomainName, WorkName};
+use samphiresill_core::name::{DomainName, TargetName, WorkName};
+use samphiresill_core::routing::{TargetEntry, TargetState};
 use samphiresill_sched::fleet::account::Account;
 use samphiresill_sched::fleet::overload::Overload;
 
@@ -232,9 +234,11 @@
     /// Takes each change of configuration and targets into the account.
     async fn follow_knowledge(self: Arc<Self>) {
         let mut changes = self.knowledge.subscribe();
+        let mut known = BTreeMap::new();
         loop {
             if let Some(table) = self.knowledge.table() {
                 let targets = self.knowledge.targets();
+                log_targets(&mut known, &targets);
                 self.account().set_targets(&targets, &table);
                 let addresses: Vec<SocketAddr> = targets.iter().map(|t| t.address).collect();
                 self.targets.retain(|a| addresses.contains(a));
@@ -253,3 +257,23 @@
         }
     }
 }
+
+/// Writes which targets have come, changed their state or gone.
+fn log_targets(known: &mut BTreeMap<TargetName, TargetState>, targets: &[TargetEntry]) {
+    let now: BTreeMap<TargetName, TargetState> =
+        targets.iter().map(|t| (t.name.clone(), t.state)).collect();
+    let is_start = known.is_empty();
+    for target in targets {
+        let before = known.insert(target.name.clone(), target.state);
+        if before != Some(target.state) && !is_start {
+            log::info!(target:% = target.name, service:% = target.service, state:? = target.state; "target listed");
+        }
+    }
+    known.retain(|name, _| {
+        let is_listed = now.contains_key(name);
+        if !is_listed {
+            log::info!(target:% = name; "target gone from the list");
+        }
+        is_listed
+    });
+}
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, UNIX_EPOCH};
 
-use samphiresill_core::name::VmName;
+use samphiresill_core::name::{TargetName, VmName};
 use samphiresill_member::member::{Health, Incarnation, Member};
 use samphiresill_member::membership::{self, Membership, Message, Output};
 use samphiresill_member::roles::Roles;
@@ -23,6 +23,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Pause between lists of all runs.
 const LIST_RUNS: Duration = Duration::from_secs(1);
+/// Pause between sweeps of the account.
+const SWEEP: Duration = Duration::from_millis(500);
 /// Time without a word from a gateway that follows the store, after which the next in rank does.
 const UNWATCHED: Duration = Duration::from_millis(1_200);
 /// The same for each further rank, so that not all begin at once.
@@ -67,6 +69,7 @@
     heartbeat_at: Duration,
     listed_at: Duration,
     swept_at: Duration,
+    unusable: BTreeSet<TargetName>,
     watcher_heard_at: Duration,
     told_version: u64,
     behind_since: Option<Duration>,
@@ -114,6 +117,7 @@
             heartbeat_at: now,
             listed_at: now,
             swept_at: now,
+            unusable: BTreeSet::new(),
             watcher_heard_at: now,
             told_version: 0,
             behind_since: None,
@@ -286,9 +290,10 @@
         let out = self.membership.tick(now);
         self.act(out).await;
         self.decide_watching(now);
-        if now.saturating_sub(self.swept_at) >= LIST_RUNS {
+        if now.saturating_sub(self.swept_at) >= SWEEP {
             self.swept_at = now;
             self.gateway.account().sweep(now);
+            self.log_unusable(now);
         }
         // Heartbeats reach more gateways than events do, and are due in spite of them.
         let is_due = now.saturating_sub(self.heartbeat_at) >= HEARTBEAT;
@@ -297,6 +302,18 @@
         }
     }
 
+    /// Writes which targets have come to be set aside, or are used again.
+    fn log_unusable(&mut self, now: Duration) {
+        let unusable = self.gateway.account().unusable(now);
+        for target in unusable.difference(&self.unusable) {
+            log::warn!(target:%; "target set aside");
+        }
+        for target in self.unusable.difference(&unusable) {
+            log::info!(target:%; "target used again");
+        }
+        self.unusable = unusable;
+    }
+
     /// Follows the store when it is this gateway's duty, or when no other one seems to do it.
     fn decide_watching(&mut self, now: Duration) {
         if now.saturating_sub(self.started) < SETTLE {
--- a/samphiresill-sched/src/fleet/account/mod.rs
+++ b/samphiresill-sched/src/fleet/account/mod.rs
@@ -33,6 +33,9 @@
 /// Age at which a run is taken as ended; longer than any route lets one last.
 const MAX_RUN_AGE: Duration = Duration::from_secs(40);
 
+/// Time between two sweeps from which on the process counts as paused; they come twice a second.
+const MAX_SWEEP_GAP: Duration = Duration::from_millis(1_000);
+
 /// `Placement` is the decision to send a request to a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Placement {
@@ -60,6 +63,7 @@
     pace: PaceTarget,
     holding: Holding,
     held: Held,
+    swept_at: Duration,
     refused: BTreeMap<u64, Duration>,
     outbox: Vec<Event>,
 }
@@ -76,6 +80,7 @@
             pace: PaceTarget::default(),
             holding: Holding::default(),
             held: Held::default(),
+            swept_at: Duration::ZERO,
             refused: BTreeMap::new(),
             outbox: Vec::new(),
         }
@@ -208,6 +213,16 @@
         self.end_all(over, is_relayed, now);
     }
 
+    /// Targets that are set aside now, and those that have stalled.
+    #[must_use]
+    pub fn unusable(&self, now: Duration) -> BTreeSet<TargetName> {
+        let unusable = self
+            .targets
+            .iter()
+            .filter(|(_, t)| !t.health.is_usable(now));
+        unusable.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Does what time brings about: forgets runs whose end was never heard, and tells others of
     /// targets that have stalled.
     pub fn sweep(&mut self, now: Duration) {
@@ -219,6 +234,12 @@
             over.extend(runs.map(|run| (name.clone(), run)));
         }
         self.end_all(over, false, now);
+        // After a pause of this router's own process, bytes may wait that it has not read yet.
+        let was_paused = now.saturating_sub(self.swept_at) > MAX_SWEEP_GAP;
+        self.swept_at = now;
+        if was_paused {
+            return;
+        }
         let stalled = self
             .targets
             .iter()
@@ -274,9 +295,11 @@
                 }
             }
             Event::FirstEvent { run, target } => {
-                if let Some(Load::Engine(load)) = self.targets.get_mut(target).map(|t| &mut t.load)
-                {
-                    load.first_event(*run, now);
+                if let Some(target) = self.targets.get_mut(target) {
+                    target.health.reported_alive(now);
+                    if let Load::Engine(load) = &mut target.load {
+                        load.first_event(*run, now);
+                    }
                 }
             }
             Event::Ended {
--- a/samphiresill-sched/src/fleet/account/place.rs
+++ b/samphiresill-sched/src/fleet/account/place.rs
@@ -24,6 +24,8 @@
 const PACE_MS: f64 = 100.0;
 /// Cost of another failure domain, in milliseconds: the way there and back, and its bytes.
 const DISTANCE_MS: f64 = 4.0;
+/// One in so many targets of a service may be set aside because it fails many requests.
+const MAX_FAILING: usize = 3;
 /// Pause that is asked for when no target is known.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
@@ -248,12 +250,19 @@
                 && target.entry.state == TargetState::Ready
                 && !ask.tried.contains(&target.entry.name)
         };
-        let mut open = self.targets.values().filter(is_open);
-        let is_any_usable = open.any(|t| t.health.is_usable(now));
+        let open = || self.targets.values().filter(is_open);
+        let failing = open().filter(|t| t.health.is_failing(now)).count();
+        // Where many fail, the requests are at fault, or there is nowhere better to go.
+        let is_failing_usual = failing * MAX_FAILING > open().count();
+        let is_usable = move |target: &Target| {
+            let health = target.health;
+            health.is_reachable(now) && (is_failing_usual || !health.is_failing(now))
+        };
+        let is_any_usable = open().any(is_usable);
         self.targets
             .values()
             .filter(is_open)
-            .filter(move |t| !is_any_usable || t.health.is_usable(now))
+            .filter(move |t| !is_any_usable || is_usable(t))
     }
 }
 
--- a/samphiresill-sched/src/fleet/account/target.rs
+++ b/samphiresill-sched/src/fleet/account/target.rs
@@ -60,6 +60,7 @@
             RunResult::Unknown => {}
             RunResult::Answered { ms } => {
                 self.health.succeeded();
+                self.health.reported_alive(now);
                 if let Load::Plain(load) = &mut self.load {
                     load.observe(Duration::from_millis(u64::from(ms)));
                 }
--- a/samphiresill-sched/src/fleet/health.rs
+++ b/samphiresill-sched/src/fleet/health.rs
@@ -27,17 +27,34 @@
 pub struct Health {
     failing_share: f64,
     unreachable: u32,
+    /// Until when it is set aside because it could not be reached or has stalled.
     aside_until: Duration,
+    /// Until when it is set aside because it failed many requests.
+    failing_until: Duration,
     waiting_since: Option<Duration>,
+    /// Last sign of life that this router or another one has seen.
+    alive_at: Duration,
 }
 
 impl Health {
     /// Whether the target should get new requests.
     #[must_use]
     pub fn is_usable(&self, now: Duration) -> bool {
+        self.is_reachable(now) && !self.is_failing(now)
+    }
+
+    /// Whether it can be reached and works, as far as is known.
+    #[must_use]
+    pub fn is_reachable(&self, now: Duration) -> bool {
         now >= self.aside_until && !self.is_stalled(now)
     }
 
+    /// Whether it has failed many requests of late.
+    #[must_use]
+    pub fn is_failing(&self, now: Duration) -> bool {
+        now < self.failing_until
+    }
+
     /// Whether requests wait for a byte for longer than a working target lets them.
     #[must_use]
     pub fn is_stalled(&self, now: Duration) -> bool {
@@ -53,6 +70,7 @@
     /// Notes bytes from the target; `is_idle` when no request is left there.
     pub fn progressed(&mut self, now: Duration, is_idle: bool) {
         self.waiting_since = (!is_idle).then_some(now);
+        self.alive_at = now;
         self.unreachable = 0;
     }
 
@@ -71,15 +89,23 @@
     pub fn failed(&mut self, now: Duration) {
         self.failing_share += (1.0 - self.failing_share) * NEWEST_WEIGHT;
         if self.failing_share > FAILING_SHARE {
-            self.aside_until = self.aside_until.max(now + FAILING_PAUSE);
+            self.failing_until = self.failing_until.max(now + FAILING_PAUSE);
             // The share falls back below the threshold, so that the next failures decide anew.
             self.failing_share = FAILING_SHARE / 2.0;
         }
     }
 
-    /// Takes in that another router found the target stalled.
+    /// Takes in that another router found the target stalled. It is believed only while no one
+    /// else sees the target work: the router itself may be cut off from it, or have been paused.
     pub fn reported_stalled(&mut self, now: Duration) {
-        self.aside_until = self.aside_until.max(now + STALL);
+        if now.saturating_sub(self.alive_at) > STALL / 2 {
+            self.aside_until = self.aside_until.max(now + STALL);
+        }
+    }
+
+    /// Takes in that another router has seen the target work.
+    pub fn reported_alive(&mut self, now: Duration) {
+        self.alive_at = now;
     }
 
     /// Notes a connection that could not be made.
--- a/samphiresill-sched/src/fleet/tests/accounts.rs
+++ b/samphiresill-sched/src/fleet/tests/accounts.rs
@@ -8,7 +8,8 @@
 
 use super::world::{Request, account, entry, service, table};
 use crate::fleet::account::{Account, Placement};
-use crate::fleet::event::RunResult;
+use crate::fleet::event::{Event, RunResult};
+use crate::fleet::work::RunId;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -127,3 +128,73 @@
     account.sweep(SECOND * 60);
     assert_eq!(runs(&mut account, SECOND * 60), 0);
 }
+
+/// A router that woke from a pause, or is cut off, finds all targets stalled; what others see of
+/// them counts.
+#[test]
+fn a_report_of_a_stall_is_not_believed_against_what_others_see() {
+    let stalled = |account: &mut Account, now: Duration| {
+        let event = Event::Stalled {
+            target: entry(0).name,
+        };
+        account.apply(vec![event], false, now);
+        account.unusable(now).len()
+    };
+    let mut account = account(1, 1);
+    let placement = place(&mut account, 1, SECOND);
+    account.progress(&placement, SECOND * 2);
+    assert_eq!(stalled(&mut account, SECOND * 2 + SECOND / 10), 0);
+    account.end(&placement, RunResult::Unknown, SECOND * 3);
+    assert_eq!(
+        stalled(&mut account, SECOND * 4),
+        1,
+        "no one has seen it work for long"
+    );
+}
+
+#[test]
+fn a_router_that_was_paused_reports_no_stalls() {
+    let mut account = account(1, 1);
+    account.sweep(SECOND);
+    place(&mut account, 1, SECOND);
+    drop(account.take_events());
+    account.sweep(SECOND * 4);
+    assert!(!account.has_events(), "after a pause");
+    account.sweep(SECOND * 4 + SECOND / 2);
+    assert!(account.has_events(), "once it has had time to read");
+}
+
+/// Found by a recorded day: a change of the configuration sent requests to engines that failed
+/// them; all engines but a new one were set aside, which got all the work.
+#[test]
+fn targets_that_all_fail_are_not_set_aside() {
+    let mut account = account(1, 6);
+    let fail = |account: &mut Account, target: usize| {
+        let result = RunResult::Failed;
+        for number in 0..20 {
+            let run = RunId { origin: 9, number };
+            let target = entry(target).name;
+            let event = Event::Ended {
+                run,
+                target,
+                result,
+            };
+            account.apply(vec![event], false, SECOND);
+        }
+    };
+    let used = |account: &mut Account| {
+        let placed: Vec<Placement> = (0..6).map(|n| place(account, n, SECOND)).collect();
+        let targets: BTreeSet<_> = placed.iter().map(|p| p.target.clone()).collect();
+        for placement in &placed {
+            account.end(placement, RunResult::Unknown, SECOND);
+        }
+        targets.len()
+    };
+    assert_eq!(used(&mut account), 6);
+    fail(&mut account, 0);
+    assert_eq!(used(&mut account), 5, "one that fails alone is set aside");
+    for target in 1..5 {
+        fail(&mut account, target);
+    }
+    assert_eq!(used(&mut account), 6, "where most fail, none is");
+}
