Serve metrics, tell other schedulers of demand that waited and was refused, hold a flood in proportion

Counters and histograms are served on the metrics address; one listener serves checks, metrics and knowledge for peers.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hyper::StatusCode;
 use samphiresill_attempt::budget::{self, Budgets};
 use samphiresill_core::clock::Clock;
 use samphiresill_core::name::{DomainName, TargetName, WorkName};
@@ -19,8 +20,9 @@
 use crate::dialect::Dialect;
 use crate::knowledge::Knowledge;
 use crate::log_budget::LogBudget;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::readiness;
+use crate::responder::{self, Answer};
 use crate::settings::Settings;
 
 /// Time from the signal to stop until the balancer sends no new connections: two failed checks,
@@ -55,6 +57,8 @@
     pub domain: DomainName,
     /// Other gateways.
     pub peers: Arc<Peers>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// Bound on lines in the log.
     pub lines: LogBudget,
     account: Mutex<Account>,
@@ -77,7 +81,9 @@
 
 impl Gateway {
     /// Puts a gateway together; `origin` is new with each start of the process.
-    #[must_use]
+    ///
+    /// # Errors
+    /// When the metrics cannot be set up.
     pub fn new(
         settings: Settings,
         clock: Arc<dyn Clock>,
@@ -85,13 +91,14 @@
         knowledge: Arc<Knowledge>,
         peers: Arc<Peers>,
         origin: u64,
-    ) -> Arc<Self> {
+    ) -> anyhow::Result<Arc<Self>> {
         let gateway = Self {
             domain: settings.domain.clone(),
             peers,
             settings: ArcSwap::from_pointee(settings),
             targets: Pool::new(Arc::clone(&clock)),
             calls: Pool::new(Arc::clone(&clock)),
+            metrics: Metrics::new()?,
             lines: LogBudget::new(Arc::clone(&clock)),
             clock,
             dialect,
@@ -104,7 +111,7 @@
             at_work: Arc::default(),
         };
         gateway.size_retries(1);
-        Arc::new(gateway)
+        Ok(Arc::new(gateway))
     }
 
     /// The account of the fleet's load; held for one decision, never across I/O.
@@ -145,6 +152,7 @@
             let streams = self.streams.load(Ordering::Acquire);
             let mut overload = self.overload();
             overload.observe(lag, streams);
+            self.metrics.streams(streams, overload.limit());
             let is_away = overload.is_away(self.clock.monotonic());
             if is_away != was_away {
                 log::warn!(
@@ -170,6 +178,15 @@
             && !self.overload().is_away(self.clock.monotonic())
     }
 
+    /// Answers the balancer: 200 while callers should be sent here, 503 otherwise.
+    fn check(&self) -> Answer {
+        responder::empty(if self.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        })
+    }
+
     /// Counts an ordinary request of a service, which earns a part of a retry.
     pub fn earn_retries(&self, service: &WorkName) {
         self.retries().earn(service);
@@ -208,7 +225,12 @@
     pub async fn run(self: Arc<Self>, stop: impl Future<Output = ()>) -> anyhow::Result<()> {
         let settings = self.settings.load_full();
         self.peers.start(&self).await?;
-        readiness::start(settings.listen.readiness, Arc::clone(&self)).await?;
+        let checked = Arc::clone(&self);
+        let check = move |_: &_| checked.check();
+        responder::start(settings.listen.readiness, "checks", check).await?;
+        let measured = Arc::clone(&self);
+        let metrics = move |_: &_| measured.metrics.answer();
+        responder::start(settings.listen.metrics, "metrics", metrics).await?;
         let callers = callers::start(settings.listen.callers, Arc::clone(&self)).await?;
         tokio::spawn(Arc::clone(&self).follow_knowledge());
         tokio::spawn(Arc::clone(&self).sweep());
@@ -240,6 +262,7 @@
                 let targets = self.knowledge.targets();
                 log_targets(&mut known, &targets);
                 self.account().set_targets(&targets, &table);
+                self.metrics.knowledge(table.revision, targets.len());
                 let addresses: Vec<SocketAddr> = targets.iter().map(|t| t.address).collect();
                 self.targets.retain(|a| addresses.contains(a));
             }
--- a/samphiresill-gateway/src/lib.rs
+++ b/samphiresill-gateway/src/lib.rs
@@ -10,9 +10,10 @@
 pub mod gateway;
 pub mod knowledge;
 pub mod log_budget;
+pub mod metrics;
 pub mod peers;
-pub mod readiness;
 pub mod relay;
+pub mod responder;
 pub mod settings;
 
 #[cfg(test)]
--- a/samphiresill-gateway/src/log_budget.rs
+++ b/samphiresill-gateway/src/log_budget.rs
@@ -29,8 +29,7 @@
     /// spends a hundredth of it on them at most.
     fn limit(self) -> u32 {
         match self {
-            Self::Served => 5,
-            Self::Refused => 5,
+            Self::Served | Self::Refused => 5,
             Self::Failed => 20,
         }
     }
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -1,24 +1,19 @@
 //! Whole knowledge of configuration and targets, fetched from a peer over TCP.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 
 use crate::connection::call;
 use crate::gateway::Gateway;
 use crate::knowledge::{Change, Versions};
+use crate::responder::{self, Answer};
 
 /// Path of the configuration as written.
 const CONFIGURATION_PATH: &str = "/configuration";
@@ -26,8 +21,6 @@
 const DIRECTORY_PATH: &str = "/directory";
 /// Time for a whole fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-/// Pause after a failed accept, as when file descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Directory {
@@ -40,11 +33,7 @@
 /// # Errors
 /// When the address cannot be bound.
 pub async fn start(address: SocketAddr, gateway: Arc<Gateway>) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address)
-        .await
-        .with_context(|| format!("cannot listen on {address} for peers"))?;
-    tokio::spawn(accept(listener, gateway));
-    Ok(())
+    responder::start(address, "peers", move |req| answer(&gateway, req)).await
 }
 
 /// Fetches from a peer what its `versions` are ahead in, in the background.
@@ -99,32 +88,7 @@
     Ok(bytes)
 }
 
-async fn accept(listener: TcpListener, gateway: Arc<Gateway>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let gateway = Arc::clone(&gateway);
-                let service = service_fn(move |req: Request<_>| {
-                    let response = answer(&gateway, &req);
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                tokio::spawn(async move {
-                    let connection =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                    if let Err(e) = connection.await {
-                        log::debug!(error:% = e; "connection of a peer ended");
-                    }
-                });
-            }
-            Err(e) => {
-                log::warn!(error:% = e; "accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
-fn answer<B>(gateway: &Gateway, req: &Request<B>) -> Response<Full<Bytes>> {
+fn answer<B>(gateway: &Gateway, req: &Request<B>) -> Answer {
     match req.uri().path() {
         CONFIGURATION_PATH => Response::new(Full::new(gateway.knowledge.document())),
         DIRECTORY_PATH => {
@@ -133,16 +97,10 @@
                 Ok(bytes) => Response::new(Full::new(bytes.into())),
                 Err(e) => {
                     log::error!(error:% = e; "directory not encoded");
-                    status(StatusCode::INTERNAL_SERVER_ERROR)
+                    responder::empty(StatusCode::INTERNAL_SERVER_ERROR)
                 }
             }
         }
-        _ => status(StatusCode::NOT_FOUND),
+        _ => responder::empty(StatusCode::NOT_FOUND),
     }
 }
-
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -20,6 +20,7 @@
 use super::stream;
 use crate::gateway::{AtWork, Gateway};
 use crate::log_budget::Kind;
+use crate::metrics;
 
 /// Sends of one request at most, those included that a target refused unrun.
 const MAX_SENDS: usize = 3;
@@ -51,6 +52,20 @@
     PassOn(Box<(http::response::Parts, Bytes)>),
 }
 
+impl End {
+    /// How the metrics count it.
+    fn counted(&self) -> metrics::End {
+        match self {
+            Self::Refused(_) | Self::Unavailable | Self::TimeUp { has_run: false } => {
+                metrics::End::Refused
+            }
+            Self::TimeUp { has_run: true } => metrics::End::TimeUp,
+            Self::Lost(_) => metrics::End::Lost,
+            Self::PassOn(_) => metrics::End::TargetFailure,
+        }
+    }
+}
+
 /// `Attempts` are the attempts at one request.
 pub struct Attempts {
     gateway: Arc<Gateway>,
@@ -126,6 +141,9 @@
             may_try_again: self.may_try_again(&failure, now),
         };
         let verdict = failure::verdict(failure.point, situation);
+        self.gateway
+            .metrics
+            .attempt_failed(&failure.point.to_string());
         if self.gateway.lines.allows(Kind::Failed) {
             log::info!(
                 request:% = self.call.request, target:%, point:% = failure.point,
@@ -177,6 +195,7 @@
             };
             match self.gateway.peers.place(&self.gateway, &ask).await {
                 Ok(placement) => {
+                    self.gateway.metrics.waited(ask.waited);
                     return Ok(Running::new(Arc::clone(&self.gateway), placement));
                 }
                 Err(refusal) => match refusal.look_again {
@@ -280,13 +299,14 @@
     let now = gateway.clock.monotonic();
     let took = now.saturating_sub(call.started);
     let target = placement.target.clone();
-    running.show(if head.status.is_server_error() {
-        RunResult::Failed
+    let (result, end) = if head.status.is_server_error() {
+        (RunResult::Failed, metrics::End::TargetFailure)
     } else {
-        RunResult::Answered {
-            ms: took.as_millis() as u32,
-        }
-    });
+        let ms = took.as_millis() as u32;
+        (RunResult::Answered { ms }, metrics::End::Served)
+    };
+    running.show(result);
+    gateway.metrics.ended(call.route.exchange, end, took);
     if gateway.lines.allows(Kind::Served) {
         log::info!(
             request:% = call.request, target:%, status = head.status.as_u16(),
@@ -327,6 +347,9 @@
 
 fn ended(gateway: &Gateway, call: &Call, end: End) -> Response<Answer> {
     let took = gateway.clock.monotonic().saturating_sub(call.started);
+    gateway
+        .metrics
+        .ended(call.route.exchange, end.counted(), took);
     let (response, reason) = match end {
         End::PassOn(answer) => {
             let (head, bytes) = *answer;
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -25,9 +25,10 @@
 use super::attempt::{Answering, Failure, Running};
 use super::call::Call;
 use super::events::Splitter;
-use super::forward::{self, Attempts, End};
+use super::forward::{self, Attempts};
 use crate::gateway::{AtWork, Gateway};
 use crate::log_budget::Kind;
+use crate::metrics::End;
 
 /// Silence after which a stream is resumed elsewhere, in multiples of the pause that is still on
 /// time: callers give up after eight.
@@ -40,16 +41,18 @@
 /// How the log names the end of a stream that is whole.
 const COMPLETE: &str = "complete";
 
-type Next = Pin<Box<dyn Future<Output = (Attempts, Result<(Running, Answering), End>)> + Send>>;
+type Next = Pin<
+    Box<dyn Future<Output = (Box<Attempts>, Result<(Running, Answering), forward::End>)> + Send>,
+>;
 
 #[derive(Debug)]
 enum State {
     /// A run answers.
     #[debug("relaying")]
     Relaying {
-        attempts: Attempts,
-        running: Running,
-        answering: Answering,
+        attempts: Box<Attempts>,
+        running: Box<Running>,
+        answering: Box<Answering>,
     },
     /// The last run has failed, and another one is being sent.
     #[debug("resuming")]
@@ -78,6 +81,7 @@
 }
 
 /// Begins to relay a stream; the answer keeps the head of its first run.
+#[must_use]
 pub fn start(
     attempts: Attempts,
     running: Running,
@@ -85,15 +89,15 @@
     held: Option<AtWork>,
 ) -> Response<Answer> {
     let (gateway, call) = attempts.parts();
-    let head = answering.head.clone();
+    let answer_head = answering.head.clone();
     let now = gateway.clock.monotonic();
     let stream = Stream {
         is_resumable: call.route.exchange == Exchange::Generation { is_resumable: true },
         timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
         state: State::Relaying {
-            attempts,
-            running,
-            answering,
+            attempts: Box::new(attempts),
+            running: Box::new(running),
+            answering: Box::new(answering),
         },
         gateway,
         call,
@@ -105,7 +109,7 @@
         noted_at: None,
         held,
     };
-    forward::pass_on(head, Answer::stream(stream))
+    forward::pass_on(answer_head, Answer::stream(stream))
 }
 
 /// What a poll of the present run has brought.
@@ -140,7 +144,8 @@
                             match self.whole_events(&bytes) {
                                 Ok(bytes) if bytes.is_empty() => {}
                                 Ok(bytes) => return Poll::Ready(Some(Ok(bytes))),
-                                Err(failure) => {
+                                Err(cause) => {
+                                    let failure = Failure::new(FailurePoint::DuringAnswer, cause);
                                     if let Some(error) = self.fail(failure) {
                                         return Poll::Ready(Some(Err(error)));
                                     }
@@ -189,7 +194,7 @@
                     let failure = Failure::new(FailurePoint::Silence, cause);
                     return Poll::Ready(Polled::Broken(failure));
                 }
-                time_left.min(silent_at - now)
+                time_left.min(silent_at.saturating_sub(now))
             } else {
                 time_left
             };
@@ -198,7 +203,7 @@
     }
 
     /// Bytes that may be delivered now: whole events that were not delivered before.
-    fn whole_events(&mut self, bytes: &Bytes) -> Result<Bytes, Failure> {
+    fn whole_events(&mut self, bytes: &Bytes) -> Result<Bytes, &'static str> {
         if !self.is_resumable {
             self.events += 1;
             return Ok(bytes.clone());
@@ -216,8 +221,7 @@
             whole.extend_from_slice(&event.bytes);
         }
         if self.splitter.is_overlong() {
-            let cause = "an event is too long";
-            return Err(Failure::new(FailurePoint::DuringAnswer, cause));
+            return Err("an event is too long");
         }
         Ok(whole.freeze())
     }
@@ -262,8 +266,8 @@
 
     fn resume(
         &mut self,
-        attempts: Attempts,
-        result: Result<(Running, Answering), End>,
+        attempts: Box<Attempts>,
+        result: Result<(Running, Answering), forward::End>,
     ) -> Result<(), String> {
         let (running, answering) = result.map_err(|end| format!("not resumed: {end:?}"))?;
         let status = answering.head.status;
@@ -274,8 +278,8 @@
         self.progress_at = self.gateway.clock.monotonic();
         self.state = State::Relaying {
             attempts,
-            running,
-            answering,
+            running: Box::new(running),
+            answering: Box::new(answering),
         };
         Ok(())
     }
@@ -292,12 +296,13 @@
         {
             let now = self.gateway.clock.monotonic();
             let took = now.saturating_sub(self.call.started);
+            self.count(End::Served, took);
             running.show(RunResult::Answered {
                 ms: took.as_millis() as u32,
             });
             let Answering {
                 head, connection, ..
-            } = answering;
+            } = *answering;
             let address = running.placement.address;
             self.gateway
                 .targets
@@ -307,15 +312,31 @@
 
     fn break_off(&mut self, cause: &str) -> io::Error {
         self.log(cause);
+        let now = self.gateway.clock.monotonic();
+        let end = if self.call.time_left(now).is_zero() {
+            End::TimeUp
+        } else {
+            End::Lost
+        };
+        self.count(end, now.saturating_sub(self.call.started));
         self.state = State::Ended;
         self.held = None;
         io::Error::other(cause.to_owned())
     }
 
+    fn count(&self, end: End, took: Duration) {
+        let exchange = self.call.route.exchange;
+        self.gateway.metrics.ended(exchange, end, took);
+    }
+
     fn note_progress(&mut self) {
         let now = self.gateway.clock.monotonic();
         self.progress_at = now;
-        self.first_at.get_or_insert(now);
+        if self.first_at.is_none() {
+            self.first_at = Some(now);
+            let took = now.saturating_sub(self.call.started);
+            self.gateway.metrics.first_event(took);
+        }
         let is_due = self
             .noted_at
             .is_none_or(|at| now.saturating_sub(at) >= NOTE_EVERY);
--- a/samphiresill-gateway/src/readiness.rs
+++ b/samphiresill-gateway/src/responder.rs
@@ -1,4 +1,4 @@
-//! The balancer's checks.
+//! A listener whose answers are known at once: checks, metrics, knowledge for peers.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -8,39 +8,57 @@
 use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
-use crate::gateway::Gateway;
-
-/// Time for the head of a check, also on a connection that is kept.
+/// Time for the head of a request, also on a connection that is kept.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Answers checks: 200 while callers should be sent here, 503 otherwise.
+/// `Answer` is a whole answer.
+pub type Answer = Response<Full<Bytes>>;
+
+/// Answers requests at an address by `respond`; `purpose` names it in errors.
 ///
 /// # Errors
 /// When the address cannot be bound.
-pub async fn start(address: SocketAddr, gateway: Arc<Gateway>) -> anyhow::Result<()> {
+pub async fn start(
+    address: SocketAddr,
+    purpose: &'static str,
+    respond: impl Fn(&Request<Incoming>) -> Answer + Send + Sync + 'static,
+) -> anyhow::Result<()> {
     let listener = TcpListener::bind(address)
         .await
-        .with_context(|| format!("cannot listen on {address} for checks"))?;
-    tokio::spawn(accept(listener, gateway));
+        .with_context(|| format!("cannot listen on {address} for {purpose}"))?;
+    tokio::spawn(accept(listener, purpose, Arc::new(respond)));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, gateway: Arc<Gateway>) {
+/// An answer without a body.
+#[must_use]
+pub fn empty(status: StatusCode) -> Answer {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+async fn accept(
+    listener: TcpListener,
+    purpose: &'static str,
+    respond: Arc<impl Fn(&Request<Incoming>) -> Answer + Send + Sync + 'static>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let gateway = Arc::clone(&gateway);
-                let service = service_fn(move |_| {
-                    let is_ready = gateway.is_ready();
-                    async move { Ok::<_, Infallible>(answer(is_ready)) }
+                let respond = Arc::clone(&respond);
+                let service = service_fn(move |req| {
+                    let response = respond(&req);
+                    async move { Ok::<_, Infallible>(response) }
                 });
                 tokio::spawn(async move {
                     let connection = http1::Builder::new()
@@ -48,22 +66,14 @@
                         .header_read_timeout(HEAD_TIMEOUT)
                         .serve_connection(TokioIo::new(stream), service);
                     if let Err(e) = connection.await {
-                        log::debug!(error:% = e; "connection of a check ended");
+                        log::debug!(purpose, error:% = e; "connection ended");
                     }
                 });
             }
             Err(e) => {
-                log::warn!(error:% = e; "accept failed");
+                log::warn!(purpose, error:% = e; "accept failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
-
-fn answer(is_ready: bool) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    if !is_ready {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-}
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -81,7 +81,7 @@
     tokio::spawn(watch.run());
     let origin = origin(&settings, clock.as_ref());
     let peers = Arc::new(Peers::bind(settings.listen.peers).await?);
-    let gateway = Gateway::new(settings, clock, dialect, knowledge, peers, origin);
+    let gateway = Gateway::new(settings, clock, dialect, knowledge, peers, origin)?;
     tokio::spawn(follow_settings(Arc::clone(&gateway), path));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -130,7 +130,7 @@
         match Settings::parse(&String::from_utf8_lossy(&seen)) {
             Ok(settings) => gateway.reload(settings),
             Err(e) => {
-                log::error!(error:% = format!("{e:#}"); "settings not valid, the former ones stay")
+                log::error!(error:% = format!("{e:#}"); "settings not valid, the former ones stay");
             }
         }
     }
--- a/samphiresill-sched/src/fleet/account/mod.rs
+++ b/samphiresill-sched/src/fleet/account/mod.rs
@@ -34,7 +34,7 @@
 const MAX_RUN_AGE: Duration = Duration::from_secs(40);
 
 /// Time between two sweeps from which on the process counts as paused; they come twice a second.
-const MAX_SWEEP_GAP: Duration = Duration::from_millis(1_000);
+const MAX_SWEEP_GAP: Duration = Duration::from_secs(1);
 
 /// `Placement` is the decision to send a request to a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/samphiresill-sched/src/fleet/account/place.rs
+++ b/samphiresill-sched/src/fleet/account/place.rs
@@ -81,8 +81,10 @@
     ) -> Result<Best, Refusal> {
         let fingerprint = fingerprint(ask.customer, generation);
         let is_return = self.is_return(fingerprint, now);
-        let is_fresh = ask.tried.is_empty() && ask.waited.is_zero() && !is_return;
-        let cost = if is_fresh { generation.cost() } else { 0 };
+        let is_new = ask.tried.is_empty() && !is_return;
+        let is_fresh = is_new && ask.waited.is_zero();
+        // What others hear of a refusal is all that they hear of a request that has waited.
+        let cost = if is_new { generation.cost() } else { 0 };
         if is_fresh {
             self.pace.observe(ask);
         }
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -15,8 +15,11 @@
 
 /// Part of its aim that a request may wait.
 const WAIT_PART: f64 = 0.6;
-/// Factor on wait and pace for a customer above the fair level.
-const ABOVE_LEVEL: f64 = 0.7;
+/// Factor on wait and pace for a customer at the fair level; it falls in proportion to what the
+/// customer has received beyond, so that a flood is held near the level.
+const ABOVE_LEVEL: f64 = 0.8;
+/// The same at least, so that what nobody else asks for is not left idle.
+const MIN_ABOVE_LEVEL: f64 = 0.2;
 /// Time in which an engine that is loaded to twice the pace recovers.
 const PACE_RECOVERY: Duration = Duration::from_millis(1_500);
 /// Time constant with which a customer's service is forgotten, as in the shares.
@@ -86,7 +89,11 @@
 /// The refusal, with the time at which a return is likely to be taken.
 pub fn decide(candidate: &Candidate) -> Result<(), Refusal> {
     let is_above = candidate.share_ratio > 1.0;
-    let factor = if is_above { ABOVE_LEVEL } else { 1.0 };
+    let factor = if is_above {
+        (ABOVE_LEVEL / candidate.share_ratio).max(MIN_ABOVE_LEVEL)
+    } else {
+        1.0
+    };
     let allowed = candidate.aim.mul_f64(WAIT_PART * factor);
     let pace = candidate.pace_ms / (candidate.pace_target_ms * factor);
     if candidate.wait <= allowed && pace <= 1.0 {
--- a/samphiresill-sched/src/fleet/tests/accounts.rs
+++ b/samphiresill-sched/src/fleet/tests/accounts.rs
@@ -198,3 +198,27 @@
     }
     assert_eq!(used(&mut account), 6, "where most fail, none is");
 }
+
+/// Found by a day on which schedulers took a flood to be within its share: they had not heard of
+/// the demand of others, which had waited and was refused.
+#[test]
+fn a_refusal_after_a_wait_tells_others_of_the_demand() {
+    let mut account = account(1, 1);
+    let request = Request::new("a", (1, 30_000), (2, 30_000), 100);
+    let (service, domain) = (service(), DomainName::from("d0"));
+    let mut ask = request.ask(&service, &domain);
+    for number in 0..6 {
+        let other = Request::new("b", (number + 10, 30_000), (number + 90, 30_000), 100);
+        let run = account.next_run();
+        drop(account.place(&other.ask(&service, &domain), run, 0.5, SECOND));
+    }
+    drop(account.take_events());
+    ask.waited = SECOND / 2;
+    let run = account.next_run();
+    account
+        .place(&ask, run, 0.5, SECOND)
+        .expect_err("a full engine");
+    let events = account.take_events();
+    let is_told = |e: &Event| matches!(e, Event::Refused { cost, .. } if *cost > 60_000);
+    assert!(events.iter().any(is_told), "{events:?}");
+}
--- a/samphiresill-sched/src/fleet/tests/decisions.rs
+++ b/samphiresill-sched/src/fleet/tests/decisions.rs
@@ -72,7 +72,7 @@
         while !health.is_usable(now) {
             now += 10 * MS;
         }
-        pauses.push((now - began).as_millis());
+        pauses.push(now.saturating_sub(began).as_millis());
     }
     assert!(pauses.is_sorted(), "{pauses:?}");
     assert!(pauses[4] <= 3_000, "{pauses:?}");
--- a/samphiresill-sched/src/fleet/tests/world.rs
+++ b/samphiresill-sched/src/fleet/tests/world.rs
@@ -100,7 +100,7 @@
                 prompt_tokens: shared.1 + own.1,
                 output_tokens: output,
             },
-            aim: Duration::from_millis(1_000),
+            aim: Duration::from_secs(1),
             timeout: Duration::from_secs(12),
         }
     }
@@ -289,11 +289,11 @@
                 let outcome = &mut self.outcomes[job.index];
                 if is_first {
                     job.first = Some(engine.free_at);
-                    outcome.first = Some(engine.free_at - job.began);
+                    outcome.first = Some(engine.free_at.saturating_sub(job.began));
                 }
                 self.account.progress(&job.placement, engine.free_at);
                 if job.tokens_left <= 0.0 {
-                    outcome.whole = Some(engine.free_at - job.began);
+                    outcome.whole = Some(engine.free_at.saturating_sub(job.began));
                     self.account.end(
                         &job.placement,
                         RunResult::Answered { ms: 1 },
