--- a/samphiresill-sched/src/fleet/tests/decisions.rs
+++ b/samphiresill-sched/src/fleet/tests/decisions.rs
@@ -7,6 +7,7 @@
 use crate::fleet::admission::{self, Candidate, Reason};
 use crate::fleet::health::Health;
 use crate::fleet::holding::Holding;
+use crate::fleet::overload::Overload;
 use crate::fleet::prefix::PrefixCache;
 use crate::fleet::shares::Shares;
 use crate::fleet::work::PromptPart;
@@ -165,3 +166,54 @@
     assert_eq!(cache.cached_tokens(&[part(1, 100)]), 0);
     assert_eq!(cache.cached_tokens(&[part(4, 900)]), 900);
 }
+
+/// One router gets more streams than its processor relays: the limit falls with late timers and
+/// rises again with timers in time, and the router leaves the rotation while it refuses much.
+#[test]
+fn a_router_with_late_timers_relays_less_and_leaves_the_rotation() {
+    let mut overload = Overload::default();
+    let now = Duration::from_secs(100);
+    assert!(overload.admits(10_000, now), "no limit before a late timer");
+    for _ in 0..5 {
+        overload.observe(40 * MS, 200);
+    }
+    let limit = overload.limit();
+    assert!((50.0..200.0).contains(&limit), "{limit}");
+    for _ in 0..200 {
+        overload.observe(40 * MS, 200);
+    }
+    assert!(overload.admits(5, now), "some streams are always relayed");
+    for _ in 0..20 {
+        assert!(!overload.admits(50, now));
+    }
+    assert!(overload.is_away(now + Duration::from_secs(4)));
+    assert!(!overload.is_away(now + Duration::from_secs(6)));
+    let low = overload.limit();
+    for _ in 0..50 {
+        overload.observe(MS, overload.limit() as usize);
+    }
+    assert!(overload.limit() > low * 2.0, "it recovers");
+}
+
+/// A router that is overloaded again as soon as it is back stays away for longer each time.
+#[test]
+fn absences_grow_while_overload_recurs() {
+    let mut overload = Overload::default();
+    overload.observe(40 * MS, 0);
+    let mut now = Duration::from_secs(100);
+    let mut absences = Vec::new();
+    for _ in 0..5 {
+        while !overload.is_away(now) {
+            assert!(!overload.admits(50, now));
+            now += MS;
+        }
+        let began = now;
+        while overload.is_away(now) {
+            now += 100 * MS;
+        }
+        absences.push(now.saturating_sub(began).as_secs());
+    }
+    assert!(absences.is_sorted(), "{absences:?}");
+    assert!(absences[4] > absences[0] * 4, "{absences:?}");
+    assert!(absences[4] <= 41, "{absences:?}");
+}
