--- a/samphiresill-experiment/src/caller.rs
+++ b/samphiresill-experiment/src/caller.rs
@@ -1,13 +1,14 @@
 //! A caller of the fleet, or of an engine directly, that times the pieces of its answer.
 
 use std::io::Read;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures::executor::block_on_stream;
 use futures::stream;
+use samphiresill_core::clock::Clock;
 use serde_json::{Value, json};
 
 /// Time within which an answer's next piece has to come.
@@ -29,6 +30,7 @@
 /// # Errors
 /// When the answer is not whole.
 pub fn stream(
+    clock: &dyn Clock,
     address: &str,
     key: &str,
     model: &str,
@@ -36,7 +38,7 @@
     prompt: &str,
 ) -> anyhow::Result<Answer> {
     let body = json!({"model": model, "stream": true, "prompt": prompt}).to_string();
-    let start = Instant::now();
+    let start = clock.monotonic();
     let response = attohttpc::post(format!("http://{address}/v1/completions"))
         .header("authorization", format!("Bearer {key}"))
         .header("x-request-id", request)
@@ -77,10 +79,10 @@
         let Some(text) = text.filter(|t| !t.is_empty()) else {
             continue;
         };
-        let now = Instant::now();
+        let now = clock.monotonic();
         match last.replace(now) {
-            None => answer.first = now - start,
-            Some(before) => answer.gaps.push(now - before),
+            None => answer.first = now.saturating_sub(start),
+            Some(before) => answer.gaps.push(now.saturating_sub(before)),
         }
         answer.text.push_str(text);
     }
--- a/samphiresill-experiment/src/capacity.rs
+++ b/samphiresill-experiment/src/capacity.rs
@@ -3,13 +3,14 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Context;
 use getopts::Options as Spec;
 use samphiresill_contract::change::{self, Change, Operation, Snapshot};
 use samphiresill_contract::document::Document;
 use samphiresill_contract::object::{Customer, Kind, Model, Object, ObjectId, Target};
+use samphiresill_core::clock::Clock;
 use samphiresill_core::name::{DomainName, VmName, WorkName};
 use samphiresill_core::units::Tokens;
 use samphiresill_member::member::{Health, Incarnation, Member};
@@ -31,7 +32,7 @@
 const DECISIONS: u32 = 300;
 
 /// Runs the command.
-pub fn command(args: &[String]) -> anyhow::Result<()> {
+pub fn command(args: &[String], clock: &dyn Clock) -> anyhow::Result<()> {
     let mut spec = Spec::new();
     spec.optflag("h", "help", "print this help");
     spec.optflag("j", "json", "print one JSON object a line");
@@ -56,15 +57,15 @@
     };
     messages(&mut show)?;
     for customers in CUSTOMERS {
-        decisions(customers, &mut show);
+        decisions(clock, customers, &mut show);
     }
     for members in MEMBERS {
-        membership_traffic(members, &mut show)?;
+        membership_traffic(clock, members, &mut show)?;
     }
     for customers in [16, 2_200] {
-        configuration(customers, &mut show)?;
+        configuration(clock, customers, &mut show)?;
     }
-    topology(&mut show);
+    topology(clock, &mut show);
     Ok(())
 }
 
@@ -261,12 +262,12 @@
 }
 
 /// Processor time of a release with the grant that follows, with all customers backlogged.
-fn decisions(customers: usize, show: Show) {
+fn decisions(clock: &dyn Clock, customers: usize, show: Show) {
     let mut scheduler = scheduler(customers);
     let mut now = Duration::from_secs(10);
     feed(&mut scheduler, now, customers, customers.div_ceil(33) + 1);
     let vm = VmName::from("router-000");
-    let start = Instant::now();
+    let start = clock.monotonic();
     for seq in 1..=u64::from(DECISIONS) {
         now += Duration::from_millis(1);
         let mut report = empty_report();
@@ -278,12 +279,12 @@
         });
         std::hint::black_box(scheduler.receive_report(now, &vm, &report));
     }
-    let each = start.elapsed().as_secs_f64() * 1e6 / f64::from(DECISIONS);
+    let each = clock.monotonic().saturating_sub(start).as_secs_f64() * 1e6 / f64::from(DECISIONS);
     show("decision_us", customers, each, "us a grant");
 }
 
 /// Bytes that one member sends in a second, in a group whose messages arrive at once.
-fn membership_traffic(count: usize, show: Show) -> anyhow::Result<()> {
+fn membership_traffic(clock: &dyn Clock, count: usize, show: Show) -> anyhow::Result<()> {
     let member = |n: usize| Member {
         vm: format!("router-{n:03}").into(),
         domain: format!("region-{}-domain-{}", n % 4, n % 10).into(),
@@ -305,7 +306,7 @@
     for step in 0..1_600u32 {
         let now = Duration::from_millis(50) * step;
         let is_counted = now >= Duration::from_mins(1);
-        let start = Instant::now();
+        let start = clock.monotonic();
         let mut flying = Vec::new();
         for vm in &names {
             let out = views.get_mut(vm).map(|v| v.tick(now)).unwrap_or_default();
@@ -326,7 +327,7 @@
             flying.extend(out.into_iter().map(|o| (to.vm.clone(), o)));
         }
         if is_counted {
-            busy += start.elapsed();
+            busy += clock.monotonic().saturating_sub(start);
         }
     }
     let node_seconds = count as f64 * 20.0;
@@ -348,7 +349,7 @@
 }
 
 /// Size of the configuration, and time to apply a change to it.
-fn configuration(customers: usize, show: Show) -> anyhow::Result<()> {
+fn configuration(clock: &dyn Clock, customers: usize, show: Show) -> anyhow::Result<()> {
     let mut snapshot = Snapshot {
         document: document(customers, 1_100),
         ..Snapshot::default()
@@ -377,21 +378,21 @@
         serde_json::to_string(&change)?.len() as f64,
         "bytes",
     );
-    let start = Instant::now();
+    let start = clock.monotonic();
     for _ in 0..100 {
         snapshot = change::apply(&snapshot, &change)?;
     }
     show(
         "change_us",
         customers,
-        start.elapsed().as_secs_f64() * 1e4,
+        clock.monotonic().saturating_sub(start).as_secs_f64() * 1e4,
         "us a change",
     );
     Ok(())
 }
 
 /// Time to work out who schedules what, when a member or the configuration changes.
-fn topology(show: Show) {
+fn topology(clock: &dyn Clock, show: Show) {
     let mut document = document(2_200, 0);
     let models = (0..11).map(|n| WorkName::from(format!("model-{n}")));
     let template = document.models[&pool().work].clone();
@@ -416,14 +417,14 @@
         )
     };
     let members: BTreeMap<VmName, DomainName> = (0..330).map(member).collect();
-    let start = Instant::now();
+    let start = clock.monotonic();
     for _ in 0..20 {
         std::hint::black_box(Topology::new(&document, members.clone()));
     }
     show(
         "topology_us",
         330,
-        start.elapsed().as_secs_f64() * 1e6 / 20.0,
+        clock.monotonic().saturating_sub(start).as_secs_f64() * 1e6 / 20.0,
         "us a change",
     );
 }
--- a/samphiresill-experiment/src/latency.rs
+++ b/samphiresill-experiment/src/latency.rs
@@ -5,12 +5,13 @@
 
 use anyhow::Context;
 use getopts::Options;
+use samphiresill_core::clock::Clock;
 use serde_json::json;
 
 use crate::caller;
 
 /// Runs the command.
-pub fn command(args: &[String]) -> anyhow::Result<()> {
+pub fn command(args: &[String], clock: &dyn Clock) -> anyhow::Result<()> {
     let mut spec = Options::new();
     spec.optflag("h", "help", "print this help");
     spec.optopt(
@@ -49,7 +50,7 @@
         for (way, address) in ways.iter_mut().zip([&direct, &via]) {
             let prompt = format!("latency {number} len={tokens}");
             let id = format!("latency-{}-{number}", std::process::id());
-            let answer = caller::stream(address, &key, &model, &id, &prompt)?;
+            let answer = caller::stream(clock, address, &key, &model, &id, &prompt)?;
             way.firsts.push(answer.first);
             way.gaps.extend(answer.gaps);
         }
--- a/samphiresill-experiment/src/load.rs
+++ b/samphiresill-experiment/src/load.rs
@@ -2,16 +2,16 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Instant;
 
 use anyhow::{Context, bail};
 use getopts::Options;
+use samphiresill_core::clock::Clock;
 use samphiresill_standins::text;
 
 use crate::caller;
 
 /// Runs the command.
-pub fn command(args: &[String]) -> anyhow::Result<()> {
+pub fn command(args: &[String], clock: &dyn Clock) -> anyhow::Result<()> {
     let mut spec = Options::new();
     spec.optflag("h", "help", "print this help");
     spec.optopt(
@@ -50,7 +50,7 @@
         .context("--concurrency")?;
     let next = AtomicUsize::new(0);
     let wrong = AtomicUsize::new(0);
-    let start = Instant::now();
+    let start = clock.monotonic();
     thread::scope(|scope| {
         for _ in 0..concurrency {
             scope.spawn(|| {
@@ -61,7 +61,7 @@
                     }
                     let router = &routers[number % routers.len()];
                     let key = &keys[number % keys.len()];
-                    if let Err(e) = check(router, key, &model, number) {
+                    if let Err(e) = check(clock, router, key, &model, number) {
                         wrong.fetch_add(1, Ordering::Relaxed);
                         eprintln!("request {number}: {e:#}");
                     }
@@ -72,7 +72,7 @@
     let wrong = wrong.into_inner();
     println!(
         "{requests} requests, {wrong} wrong, {:.1} s",
-        start.elapsed().as_secs_f64()
+        clock.monotonic().saturating_sub(start).as_secs_f64()
     );
     if wrong > 0 {
         bail!("{wrong} of {requests} answers were wrong");
@@ -80,9 +80,15 @@
     Ok(())
 }
 
-fn check(router: &str, key: &str, model: &str, number: usize) -> anyhow::Result<()> {
+fn check(
+    clock: &dyn Clock,
+    router: &str,
+    key: &str,
+    model: &str,
+    number: usize,
+) -> anyhow::Result<()> {
     let prompt = format!("load {number} len={}", 5 + number % 40);
-    let answer = caller::stream(router, key, model, "", &prompt)?;
+    let answer = caller::stream(clock, router, key, model, "", &prompt)?;
     let expected = text::answer(&prompt, usize::MAX);
     if answer.text != expected {
         bail!("got {:?} in place of {expected:?}", answer.text);
--- a/samphiresill-experiment/src/main.rs
+++ b/samphiresill-experiment/src/main.rs
@@ -8,6 +8,8 @@
 
 use std::process::ExitCode;
 
+use samphiresill_core::clock::SystemClock;
+
 /// Exit code for a command line that is not accepted.
 const EXIT_USAGE: u8 = 2;
 
@@ -29,11 +31,12 @@
         Some((command, rest)) => (command.as_str(), rest),
         None => ("--help", &args[..]),
     };
+    let clock = SystemClock::new();
     let result = match command {
         "fairness" => fairness::command(rest),
-        "capacity" => capacity::command(rest),
-        "latency" => latency::command(rest),
-        "load" => load::command(rest),
+        "capacity" => capacity::command(rest, &clock),
+        "latency" => latency::command(rest, &clock),
+        "load" => load::command(rest, &clock),
         "--help" | "-h" => {
             print!("{HELP}");
             return ExitCode::SUCCESS;
--- a/samphiresill-gateway/src/lib.rs
+++ b/samphiresill-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dialect;
 pub mod gateway;
 pub mod knowledge;
+pub mod listener;
 pub mod log_budget;
 pub mod metrics;
 pub mod peers;
--- /dev/null
+++ b/samphiresill-gateway/src/listener.rs
@@ -0,0 +1,128 @@
+//! Accepting connections, with a bound on their number and an orderly end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+/// Pause after a failed accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// `Occupancy` counts the connections that are open.
+#[derive(Clone, Debug)]
+pub struct Occupancy {
+    free: Arc<Semaphore>,
+    max: usize,
+}
+
+impl Occupancy {
+    /// Connections that are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.max - self.free.available_permits()
+    }
+
+    /// Whether more than a part of the connections that may be open are.
+    #[must_use]
+    pub fn exceeds(&self, part: f64) -> bool {
+        self.open() as f64 > self.max as f64 * part
+    }
+}
+
+/// `Accepted` is a connection that was accepted.
+#[derive(Debug)]
+pub struct Accepted {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Becomes true when the connection should end with its next answer.
+    pub closing: watch::Receiver<bool>,
+    /// How many connections are open.
+    pub occupancy: Occupancy,
+}
+
+/// `Listener` accepts connections until it is closed.
+#[derive(Debug)]
+pub struct Listener {
+    closing: watch::Sender<bool>,
+    occupancy: Occupancy,
+}
+
+impl Listener {
+    /// Listens, and serves each of at most `max` connections at a time by `serve`; `purpose` names
+    /// the address in errors.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn start<F>(
+        address: SocketAddr,
+        purpose: &'static str,
+        max: usize,
+        serve: impl Fn(Accepted) -> F + Send + 'static,
+    ) -> anyhow::Result<Self>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address)
+            .await
+            .with_context(|| format!("cannot listen on {address} for {purpose}"))?;
+        let occupancy = Occupancy {
+            free: Arc::new(Semaphore::new(max)),
+            max,
+        };
+        let (closing, closed) = watch::channel(false);
+        tokio::spawn(accept(listener, purpose, occupancy.clone(), closed, serve));
+        Ok(Self { closing, occupancy })
+    }
+
+    /// Accepts nothing more, and tells the open connections to end.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Connections that are open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.occupancy.open()
+    }
+}
+
+async fn accept<F>(
+    listener: TcpListener,
+    purpose: &'static str,
+    occupancy: Occupancy,
+    mut closing: watch::Receiver<bool>,
+    serve: impl Fn(Accepted) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        let Ok(permit) = Arc::clone(&occupancy.free).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // A listener that was dropped is not closed.
+            Ok(()) = closing.changed() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let served = serve(Accepted {
+                    stream,
+                    closing: closing.clone(),
+                    occupancy: occupancy.clone(),
+                });
+                tokio::spawn(async move {
+                    served.await;
+                    drop(permit);
+                });
+            }
+            Err(e) => {
+                log::warn!(purpose, error:% = e; "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::{Debug, Display};
+use derive_more::Display;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use samphiresill_core::routing::Exchange;
+use samphiresill_telemetry::exposition::Exposition;
 
 use crate::responder::{self, Answer};
 
@@ -47,9 +46,7 @@
 /// `Metrics` are the counters of one gateway.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    #[debug(skip)]
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     requests: Counter<u64>,
     attempts_failed: Counter<u64>,
     first_event: Histogram<f64>,
@@ -67,14 +64,10 @@
     /// # Errors
     /// When the exporter cannot be set up.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("samphiresill");
+        let exposition = Exposition::new()?;
+        let meter = exposition.meter();
         Ok(Self {
-            registry,
+            exposition,
             requests: meter.u64_counter("gateway_requests").build(),
             attempts_failed: meter.u64_counter("gateway_attempts_failed").build(),
             first_event: histogram(&meter, "gateway_first_event_seconds"),
@@ -84,7 +77,6 @@
             stream_limit: meter.f64_gauge("gateway_stream_limit").build(),
             revision: meter.u64_gauge("gateway_configuration_revision").build(),
             targets: meter.u64_gauge("gateway_targets").build(),
-            _provider: provider,
         })
     }
 
@@ -127,9 +119,8 @@
     /// Everything counted, as an answer for a scraper.
     #[must_use]
     pub fn answer(&self) -> Answer {
-        let mut buf = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
-            Ok(()) => Response::new(Full::new(Bytes::from(buf))),
+        match self.exposition.text() {
+            Ok(text) => Response::new(Full::new(Bytes::from(text))),
             Err(e) => {
                 log::warn!(error:% = e; "metrics not encoded");
                 responder::empty(StatusCode::INTERNAL_SERVER_ERROR)
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -15,6 +15,7 @@
 use super::frame::{Frame, LoadFrame, MAX_BYTES};
 use super::{Peers, asks, snapshot};
 use crate::gateway::Gateway;
+use crate::knowledge::Versions;
 
 /// Pause between sendings while there are events: short against the time of a prompt, long
 /// enough to carry several events in one datagram.
@@ -74,7 +75,6 @@
     told_version: u64,
     behind_since: Option<Duration>,
     is_fetching: Arc<AtomicBool>,
-    is_leaving: bool,
 }
 
 impl Driver {
@@ -122,7 +122,6 @@
             told_version: 0,
             behind_since: None,
             is_fetching: Arc::default(),
-            is_leaving: false,
         }
     }
 
@@ -147,7 +146,6 @@
                 _ = ticks.tick() => self.tick().await,
                 Ok(()) = changes.changed() => self.tell_news().await,
                 Ok(()) = leaving.changed() => {
-                    self.is_leaving = true;
                     let out = self.membership.leave();
                     self.act(out).await;
                 }
@@ -275,7 +273,7 @@
     }
 
     /// Fetches what a peer knows and this gateway does not.
-    fn catch_up(&mut self, peer: SocketAddr, versions: crate::knowledge::Versions, now: Duration) {
+    fn catch_up(&mut self, peer: SocketAddr, versions: Versions, now: Duration) {
         let since = *self.behind_since.get_or_insert(now);
         let is_waiting = self.gateway.knowledge.is_watching() && now.saturating_sub(since) < BEHIND;
         if is_waiting || self.is_fetching.load(Ordering::Acquire) {
@@ -412,7 +410,6 @@
     fn empty_frame(&self) -> LoadFrame {
         LoadFrame {
             origin: self.origin,
-            address: Some(self.peers.own),
             versions: self.gateway.knowledge.versions(),
             is_watching: self.gateway.knowledge.is_watching(),
             ..LoadFrame::default()
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -1,6 +1,5 @@
 //! The form of the datagrams between gateways.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use samphiresill_core::name::{CustomerName, DomainName, TargetName, VmName, WorkName};
@@ -39,8 +38,6 @@
 pub struct LoadFrame {
     /// The gateway, new with each start of its process.
     pub origin: u64,
-    /// Where it listens for peers.
-    pub address: Option<SocketAddr>,
     /// How new its knowledge is.
     pub versions: Versions,
     /// Whether it follows the store, and the store answers it.
--- a/samphiresill-gateway/src/responder.rs
+++ b/samphiresill-gateway/src/responder.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,12 +12,13 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+
+use crate::listener::{Accepted, Listener};
 
 /// Time for the head of a request, also on a connection that is kept.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause after a failed accept, as when file descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections at a time; peers of a large fleet may all fetch at once.
+const MAX_CONNECTIONS: usize = 400;
 
 /// `Answer` is a whole answer.
 pub type Answer = Response<Full<Bytes>>;
@@ -32,10 +32,9 @@
     purpose: &'static str,
     respond: impl Fn(&Request<Incoming>) -> Answer + Send + Sync + 'static,
 ) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address)
-        .await
-        .with_context(|| format!("cannot listen on {address} for {purpose}"))?;
-    tokio::spawn(accept(listener, purpose, Arc::new(respond)));
+    let respond = Arc::new(respond);
+    let serve = move |accepted: Accepted| serve(accepted, purpose, Arc::clone(&respond));
+    Listener::start(address, purpose, MAX_CONNECTIONS, serve).await?;
     Ok(())
 }
 
@@ -47,33 +46,20 @@
     response
 }
 
-async fn accept(
-    listener: TcpListener,
+async fn serve(
+    accepted: Accepted,
     purpose: &'static str,
-    respond: Arc<impl Fn(&Request<Incoming>) -> Answer + Send + Sync + 'static>,
+    respond: Arc<impl Fn(&Request<Incoming>) -> Answer>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let respond = Arc::clone(&respond);
-                let service = service_fn(move |req| {
-                    let response = respond(&req);
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                tokio::spawn(async move {
-                    let connection = http1::Builder::new()
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(HEAD_TIMEOUT)
-                        .serve_connection(TokioIo::new(stream), service);
-                    if let Err(e) = connection.await {
-                        log::debug!(purpose, error:% = e; "connection ended");
-                    }
-                });
-            }
-            Err(e) => {
-                log::warn!(purpose, error:% = e; "accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+    let service = service_fn(move |req| {
+        let response = respond(&req);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(accepted.stream), service);
+    if let Err(e) = connection.await {
+        log::debug!(purpose, error:% = e; "connection ended");
     }
 }
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -6,7 +6,6 @@
 
 use anyhow::Context;
 use getopts::Options;
-use samphiresill::logging;
 use samphiresill_adapter::dialect::PlatformDialect;
 use samphiresill_adapter::store::Store;
 use samphiresill_adapter::watch::Watch;
@@ -15,6 +14,7 @@
 use samphiresill_gateway::knowledge::Knowledge;
 use samphiresill_gateway::peers::Peers;
 use samphiresill_gateway::settings::Settings;
+use samphiresill_telemetry::logging::{self, Output};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings or options that are not accepted.
@@ -61,7 +61,7 @@
 }
 
 fn run(settings: Settings, path: String) -> anyhow::Result<()> {
-    let _logging = logging::start_to_stdout(&settings.log_level)?;
+    let _logging = logging::start(&settings.log_level, Output::Stdout)?;
     // One thread: the VMs that host the gateway have one core.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/samphiresill-router/src/main.rs
+++ b/samphiresill-router/src/main.rs
@@ -10,10 +10,10 @@
 
 use anyhow::Context;
 use getopts::Options;
-use samphiresill::logging;
 use samphiresill::router::Router;
 use samphiresill::settings::Settings;
 use samphiresill_core::clock::SystemClock;
+use samphiresill_telemetry::logging::{self, Output};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -84,7 +84,7 @@
 
 /// Runs the router until a signal asks it to stop; a second signal stops it at once.
 fn run(settings: Settings) -> anyhow::Result<()> {
-    let _logging = logging::start(&settings.log_level)?;
+    let _logging = logging::start(&settings.log_level, Output::Stderr)?;
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let router = Router::start(settings, Arc::new(SystemClock::new()))?;
     log::info!("started");
--- a/samphiresill-sched/src/scheduler/mod.rs
+++ b/samphiresill-sched/src/scheduler/mod.rs
@@ -9,6 +9,8 @@
 
 pub mod demand;
 pub mod exchange;
+mod granting;
+mod leases;
 pub mod slots;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,9 +21,7 @@
 use samphiresill_core::units::Tokens;
 
 use crate::ledger::Ledger;
-use crate::message::{
-    Acknowledge, Delivery, Grant, GrantId, Message, Observed, PoolKey, Report, RunId, Started,
-};
+use crate::message::{Acknowledge, GrantId, Message, PoolKey, Report, RunId};
 use crate::options::Options;
 use crate::topology::Topology;
 use demand::{Receiver, Wish};
@@ -294,133 +294,6 @@
         }
     }
 
-    fn note_started(&mut self, now: Duration, from: &VmName, started: &Started) {
-        let lease_until = now + self.opts.slot_lease;
-        if let Some(held) = self.held.get_mut(&started.grant) {
-            held.router = Some(from.clone());
-            held.lease_until = lease_until;
-            return;
-        }
-        // A request that an earlier life of this scheduler granted, or whose lease has lapsed.
-        let Some(slots) = self.targets.get_mut(&started.target) else {
-            return;
-        };
-        slots.adopt(started.grant);
-        let lapsed = self.lapsed.remove(&started.grant);
-        let held = lapsed.map(|held| Held {
-            router: Some(from.clone()),
-            lease_until,
-            ..held
-        });
-        let held = held.unwrap_or_else(|| Held {
-            customer: started.customer.clone(),
-            target: started.target.clone(),
-            estimate: started.estimate,
-            served: Tokens(0),
-            router: Some(from.clone()),
-            lease_until,
-            offered_to: None,
-            is_counted_elsewhere: started.grant.run != self.run,
-        });
-        self.ledger.reserve(&held.customer, held.outstanding());
-        self.held.insert(started.grant, held);
-    }
-
-    /// Counts progress; the first that is told of an adopted request was counted before.
-    fn note_progress(&mut self, now: Duration, grant: GrantId, served: Tokens) {
-        if let Some(lapsed) = self.lapsed.get_mut(&grant) {
-            let added = served.saturating_sub(lapsed.served);
-            lapsed.served = lapsed.served.max(served);
-            let customer = lapsed.customer.clone();
-            return self.ledger.serve(&customer, added);
-        }
-        let Some(held) = self.held.get_mut(&grant) else {
-            return;
-        };
-        let before = held.outstanding();
-        let added = served.saturating_sub(held.served);
-        held.served = held.served.max(served);
-        held.lease_until = now + self.opts.slot_lease;
-        let freed = before.saturating_sub(held.outstanding());
-        let customer = held.customer.clone();
-        let was_counted = std::mem::take(&mut held.is_counted_elsewhere);
-        if freed.0 > 0 {
-            self.ledger.unreserve(&customer, freed);
-        }
-        if !was_counted {
-            self.ledger.serve(&customer, added);
-        }
-    }
-
-    /// Ends a grant: its slot is free and nothing is charged in advance any more.
-    fn settle(&mut self, now: Duration, grant: GrantId, observed: Option<&Observed>) {
-        self.lapsed.remove(&grant);
-        self.free(now, grant, observed);
-    }
-
-    /// Frees the slot of a grant, and takes back what was charged in advance.
-    fn free(&mut self, now: Duration, grant: GrantId, observed: Option<&Observed>) -> Option<Held> {
-        let held = self.held.remove(&grant)?;
-        let outstanding = held.outstanding();
-        if outstanding.0 > 0 {
-            self.ledger.unreserve(&held.customer, outstanding);
-        }
-        if let Some(slots) = self.targets.get_mut(&held.target) {
-            slots.release(now, grant, observed);
-        }
-        Some(held)
-    }
-
-    fn settle_all_of(&mut self, now: Duration, router: &VmName) {
-        let of_router = self
-            .held
-            .iter()
-            .filter(|(_, h)| h.router.as_ref() == Some(router));
-        let grants: Vec<GrantId> = of_router.map(|(id, _)| *id).collect();
-        for grant in grants {
-            self.settle(now, grant, None);
-        }
-    }
-
-    fn expire(&mut self, now: Duration) {
-        let lapsed = self.held.iter().filter(|(_, h)| h.lease_until <= now);
-        let lapsed: Vec<GrantId> = lapsed.map(|(id, _)| *id).collect();
-        for grant in lapsed {
-            let held = self.free(now, grant, None).filter(|h| h.router.is_some());
-            if let Some(held) = held {
-                self.lapsed.insert(grant, held);
-            }
-        }
-        while self.lapsed.len() > MAX_LAPSED {
-            self.lapsed.pop_first();
-        }
-        let life = self.opts.grant_life * 2;
-        let report_silence = self.opts.report_interval * 4;
-        for router in self.routers.values_mut() {
-            router.receiver.forget_lost(now, life);
-            if now > router.heard_at + report_silence {
-                router.receiver.forget_wishes();
-            }
-        }
-        let lease = self.opts.slot_lease;
-        self.routers.retain(|_, r| now <= r.heard_at + lease * 4);
-        for peer in self.peers.values_mut() {
-            peer.receiver.forget_lost(now, life);
-            if now > peer.heard_at + self.opts.rejoin_silence {
-                peer.receiver.forget_wishes();
-            }
-        }
-        let silence = self.opts.rejoin_silence;
-        let silent = self
-            .heard_runs
-            .iter()
-            .filter(|(_, (_, heard_at))| now > *heard_at + silence);
-        for (domain, run) in silent.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
-            self.ledger.drop_outstanding(&domain, run);
-            self.heard_runs.remove(&(domain, run));
-        }
-    }
-
     /// Grants what can be granted, and has the other domains told of what cannot.
     fn schedule(&mut self, now: Duration) -> Vec<Outgoing> {
         if now < self.listen_until {
@@ -432,134 +305,4 @@
         self.is_summary_urgent |= unmet.iter().any(|c| !self.told_unmet.contains(c));
         out
     }
-
-    /// Grants free slots as long as there are any and someone has a use for them.
-    fn grant_free_slots(&mut self, now: Duration) -> Vec<Outgoing> {
-        let mut out = Vec::new();
-        let Some(mut target) = self.best_target(now) else {
-            return out;
-        };
-        let mut wanting = self.wanting();
-        self.ledger.set_active(wanting.clone());
-        while let Some(customer) = self.least_charged(&wanting) {
-            match self.grant(now, &target, &customer) {
-                Some(outgoing) => {
-                    out.push(outgoing);
-                    let Some(next) = self.best_target(now) else {
-                        break;
-                    };
-                    target = next;
-                }
-                None => drop(wanting.remove(&customer)),
-            }
-        }
-        out
-    }
-
-    fn unmet_here(&self) -> BTreeSet<CustomerName> {
-        let routers = self.routers.values();
-        routers
-            .flat_map(|r| r.receiver.unmet_all())
-            .map(|(c, _, _)| c.clone())
-            .collect()
-    }
-
-    fn wanting(&self) -> BTreeSet<CustomerName> {
-        let mut wanting = self.unmet_here();
-        for peer in self.peers.values() {
-            wanting.extend(peer.receiver.unmet_all().map(|(c, _, _)| c.clone()));
-        }
-        wanting
-    }
-
-    fn least_charged(&self, wanting: &BTreeSet<CustomerName>) -> Option<CustomerName> {
-        let charged = wanting.iter().map(|c| (self.ledger.charge(c), c));
-        charged
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)))
-            .map(|(_, c)| c.clone())
-    }
-
-    fn best_target(&self, now: Duration) -> Option<TargetName> {
-        let free = self.targets.iter().filter(|(_, slots)| slots.free(now) > 0);
-        free.min_by(|a, b| a.1.cost().total_cmp(&b.1.cost()))
-            .map(|(name, _)| name.clone())
-    }
-
-    /// Grants a slot to a customer's request in this domain, or else in the domain with the most
-    /// of them; nothing when it turns out that none waits.
-    fn grant(
-        &mut self,
-        now: Duration,
-        target: &TargetName,
-        customer: &CustomerName,
-    ) -> Option<Outgoing> {
-        let router = self.router_for(customer);
-        let domain = if router.is_some() {
-            None
-        } else {
-            Some(self.domain_for(customer)?)
-        };
-        let receiver = match (&router, &domain) {
-            (Some(vm), _) => &self.routers.get(vm)?.receiver,
-            (None, domain) => &self.peers.get(domain.as_ref()?)?.receiver,
-        };
-        let estimate = Tokens(receiver.wish(customer)?.estimate.0.max(1));
-        self.next_seq += 1;
-        let id = GrantId {
-            run: self.run,
-            seq: self.next_seq,
-        };
-        let grant = Grant {
-            id,
-            pool: self.pool.clone(),
-            scheduler: self.vm.clone(),
-            target: target.clone(),
-            customer: customer.clone(),
-            estimate,
-        };
-        self.targets.get_mut(target)?.grant(now, id);
-        self.ledger.reserve(customer, estimate);
-        let held = Held {
-            customer: customer.clone(),
-            target: target.clone(),
-            estimate,
-            served: Tokens(0),
-            router: None,
-            lease_until: now + self.opts.grant_life * 2 + self.opts.report_interval * 2,
-            offered_to: domain.clone(),
-            is_counted_elsewhere: false,
-        };
-        self.held.insert(id, held);
-        match (router, domain) {
-            (Some(vm), _) => Some(self.deliver(now, &vm, grant)),
-            (None, domain) => self.offer(now, &domain?, grant),
-        }
-    }
-
-    fn deliver(&mut self, now: Duration, vm: &VmName, grant: Grant) -> Outgoing {
-        let router = self
-            .routers
-            .get_mut(vm)
-            .expect("a grant goes to a known router");
-        let order = router.receiver.send(now, &grant.customer);
-        let delivery = Delivery {
-            grant,
-            basis: router.sent_at,
-            run: self.run,
-            order,
-        };
-        Outgoing::Router(vm.clone(), Message::Grant(delivery))
-    }
-
-    /// The router at which a customer's request has waited longest.
-    fn router_for(&self, customer: &CustomerName) -> Option<VmName> {
-        let with_unmet = self
-            .routers
-            .iter()
-            .filter(|(_, r)| r.receiver.unmet(customer) > 0);
-        let since = |r: &Router| r.receiver.wish(customer).map(|w| w.since);
-        with_unmet
-            .min_by_key(|(_, r)| since(r))
-            .map(|(vm, _)| vm.clone())
-    }
 }
--- a/samphiresill/src/lib.rs
+++ b/samphiresill/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod follow;
 pub mod forward;
 pub mod front;
-pub mod logging;
 pub mod metrics;
 pub mod operations;
 pub mod operators;
--- a/samphiresill/src/metrics.rs
+++ b/samphiresill/src/metrics.rs
@@ -3,17 +3,15 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Histogram};
 use samphiresill_core::name::CustomerName;
 use samphiresill_core::outcome::Outcome;
+use samphiresill_telemetry::exposition::Exposition;
 
 /// `Metrics` are the counters of one router.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     requests: Counter<u64>,
     resumes: Counter<u64>,
     duration: Histogram<f64>,
@@ -27,14 +25,10 @@
     /// # Errors
     /// When the exporter cannot be set up.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("samphiresill");
+        let exposition = Exposition::new()?;
+        let meter = exposition.meter();
         Ok(Self {
-            registry,
+            exposition,
             requests: meter.u64_counter("samphiresill_requests").build(),
             resumes: meter.u64_counter("samphiresill_stream_resumes").build(),
             duration: meter.f64_histogram("samphiresill_request_seconds").build(),
@@ -42,7 +36,6 @@
             control_messages: meter
                 .u64_counter("samphiresill_control_sent_messages")
                 .build(),
-            _provider: provider,
         })
     }
 
@@ -70,10 +63,10 @@
     /// Everything counted, as text for a scraper.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut buf = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+        let text = self.exposition.text().unwrap_or_else(|e| {
             log::warn!(error:% = e; "metrics not encoded");
-        }
-        String::from_utf8_lossy(&buf).into_owned()
+            Vec::new()
+        });
+        String::from_utf8_lossy(&text).into_owned()
     }
 }
--- a/samphiresill/src/router.rs
+++ b/samphiresill/src/router.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use samphiresill_core::clock::Clock;
+use samphiresill_gateway::listener::Listener;
 use samphiresill_member::member::{Health, Incarnation, Member};
 use samphiresill_member::membership::{self, Membership};
 use samphiresill_platform::http::Platform;
@@ -15,7 +16,6 @@
 
 use crate::config::Config;
 use crate::dispatch::Dispatcher;
-use crate::front::Front;
 use crate::metrics::Metrics;
 use crate::peer::driver::{Driver, View};
 use crate::peer::frame::FrameKey;
@@ -35,7 +35,7 @@
 /// `Router` is a running router.
 pub struct Router {
     shared: Arc<Shared>,
-    front: Front,
+    front: Listener,
     runtime: Runtime,
 }
 
