--- a/samphiresill-core/src/routing.rs
+++ b/samphiresill-core/src/routing.rs
@@ -9,10 +9,10 @@
 /// `Exchange` is what a route's requests allow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Exchange {
-    /// A read: it may run any number of times.
-    Read,
-    /// An order: it must run at most once.
-    Order,
+    /// Idempotent: it may run any number of times.
+    Idempotent,
+    /// Not idempotent: it must run at most once.
+    NonIdempotent,
     /// A generation that is answered with a stream of events.
     Generation {
         /// Whether another run may continue the stream after the last event delivered.
@@ -24,7 +24,10 @@
     /// Whether a request may run on a second target after it may have run on a first.
     #[must_use]
     pub fn is_repeatable(self) -> bool {
-        matches!(self, Self::Read | Self::Generation { is_resumable: true })
+        matches!(
+            self,
+            Self::Idempotent | Self::Generation { is_resumable: true }
+        )
     }
 }
 
@@ -39,12 +42,12 @@
     pub prefix: Arc<str>,
     /// What its requests allow.
     pub exchange: Exchange,
-    /// Longest time that a caller is kept waiting for the end of its answer.
+    /// Timeout of the whole answer.
     pub timeout: Duration,
-    /// Time to the first byte within which an answer is on time.
-    pub aim: Duration,
-    /// Longest pause between events within which a stream is on time.
-    pub pause_aim: Option<Duration>,
+    /// Latency objective: time to the first byte.
+    pub latency_objective: Duration,
+    /// Objective for the longest pause between events of a stream.
+    pub pause_objective: Option<Duration>,
     /// Targets that one request may run on, 1 or more.
     pub max_attempts: u32,
     /// Services and their weights; never empty.
@@ -54,11 +57,11 @@
 }
 
 impl Route {
-    /// The service for a request, by weight; `draw` is uniform over all values.
+    /// The service for a request, by weight; `random` is uniform over all values.
     #[must_use]
-    pub fn service(&self, draw: u64) -> &WorkName {
+    pub fn service(&self, random: u64) -> &WorkName {
         let total: u64 = self.services.iter().map(|(_, w)| u64::from(*w)).sum();
-        let mut left = draw % total.max(1);
+        let mut left = random % total.max(1);
         for (service, weight) in &self.services {
             let weight = u64::from(*weight);
             if left < weight {
@@ -75,7 +78,7 @@
 pub struct EngineSpec {
     /// Requests that run at once in one engine.
     pub slots: u32,
-    /// Tokens that running requests and kept prompts may occupy together.
+    /// KV cache of running requests and cached prefixes together, in tokens.
     pub memory_tokens: u32,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
@@ -203,6 +206,6 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub state: TargetState,
-    /// Start of the process, Unix milliseconds; tells two starts under one name apart.
+    /// Start of the process, Unix milliseconds; distinguishes restarts under one name.
     pub started_ms: u64,
 }
--- a/samphiresill-gateway/src/callers.rs
+++ b/samphiresill-gateway/src/callers.rs
@@ -18,17 +18,17 @@
 
 /// Pause between looks at whether a connection is idle for too long.
 const IDLE_CHECK: Duration = Duration::from_secs(1);
-/// Idle time while no configuration tells one.
+/// Idle timeout without a configuration.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
-/// Bytes of a request's head while no configuration tells how many; the smallest that hyper takes.
+/// Bytes of a request's head without a configuration; the smallest buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Part of the process's descriptors that callers may take; the rest is for targets and peers.
 const CALLERS_PART: f64 = 0.7;
 /// Part of the callers' connections from which on each answer ends its connection, and idle
 /// connections are closed, so that new callers are still accepted.
-const CROWDED_PART: f64 = 0.5;
-/// Time that a connection may stay idle while there are many.
-const CROWDED_IDLE: Duration = Duration::from_secs(2);
+const HIGH_OCCUPANCY: f64 = 0.5;
+/// Idle timeout at high occupancy.
+const IDLE_AT_HIGH_OCCUPANCY: Duration = Duration::from_secs(2);
 
 /// Listens for callers and serves them until the interface is closed.
 ///
@@ -41,7 +41,7 @@
     Listener::start(address, "callers", max_connections, serve).await
 }
 
-/// `Activity` tells whether a connection is idle, and since when.
+/// `Activity` is the number of requests on a connection and when it last changed.
 #[derive(Debug, Default)]
 struct Activity {
     requests: AtomicUsize,
@@ -80,11 +80,11 @@
         let occupancy = occupancy.clone();
         service_fn(move |req| {
             let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
-            let is_crowded = occupancy.exceeds(CROWDED_PART);
+            let is_occupancy_high = occupancy.exceeds(HIGH_OCCUPANCY);
             async move {
                 activity.requests.fetch_add(1, Ordering::Relaxed);
                 let mut response = relay::handle(Arc::clone(&gateway), req).await;
-                if is_crowded {
+                if is_occupancy_high {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
@@ -110,8 +110,8 @@
                 connection.await
             },
             () = tokio::time::sleep(IDLE_CHECK) => {
-                let limit = if occupancy.exceeds(CROWDED_PART) {
-                    CROWDED_IDLE
+                let limit = if occupancy.exceeds(HIGH_OCCUPANCY) {
+                    IDLE_AT_HIGH_OCCUPANCY
                 } else {
                     gateway.knowledge.table().map_or(DEFAULT_IDLE, |t| t.limits.idle_timeout)
                 };
--- a/samphiresill-gateway/src/connection/pool.rs
+++ b/samphiresill-gateway/src/connection/pool.rs
@@ -13,7 +13,7 @@
 
 use super::{Connection, Error};
 
-/// Time that a connection is kept when the other side names none.
+/// Idle timeout when the other side names none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Margin before the other side closes an idle connection: its clock began earlier than ours.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -74,7 +74,8 @@
         }
     }
 
-    /// Closes the idle connections of addresses that are not kept, and those that are too old.
+    /// Closes idle connections of other addresses than those for which `is_kept` holds, and those
+    /// whose idle timeout has passed.
     pub fn retain(&self, is_kept: impl Fn(&SocketAddr) -> bool) {
         let now = self.clock.monotonic();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -103,7 +104,7 @@
     tokens.any(|t| t.trim().eq_ignore_ascii_case("close"))
 }
 
-/// The time for which the other side keeps an idle connection, when it names one.
+/// Idle timeout of the other side, when it names one.
 fn keep_alive(answer: &HeaderMap) -> Option<Duration> {
     let value = answer
         .get(HeaderName::from_static("keep-alive"))?
--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -1,4 +1,4 @@
-//! What the gateway asks of whoever knows the names on the wire.
+//! The interface to an adapter that knows the names on the wire.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,8 +15,8 @@
 pub struct CallerHead {
     /// Identity that the caller gave the request.
     pub request: Option<RequestId>,
-    /// How long the caller will wait.
-    pub patience: Option<Duration>,
+    /// How long the caller will wait, its deadline from the start of the request.
+    pub timeout: Option<Duration>,
     /// Key that names the customer.
     pub key: Option<Arc<str>>,
     /// Present for requests to model engines.
@@ -25,7 +25,7 @@
     pub last_event: Option<Arc<str>>,
 }
 
-/// `Forward` is what a target is told beside what the caller sent.
+/// `Forward` is what is sent to a target beside the caller's headers.
 #[derive(Clone, Copy, Debug)]
 pub struct Forward<'a> {
     /// The target that the request is meant for.
@@ -34,7 +34,7 @@
     pub time_left: Duration,
     /// The customer that the key names.
     pub customer: Option<&'a CustomerName>,
-    /// An engine that keeps more of the prompt, from which the target should copy it.
+    /// An engine with a longer cached prefix, from which the target should copy it.
     pub copy_from: Option<SocketAddr>,
     /// Last event delivered, when another run continues a stream.
     pub resume_after: Option<&'a str>,
@@ -47,8 +47,8 @@
     pub is_own: bool,
     /// Whether the target states that it has not run the request.
     pub is_unexecuted: bool,
-    /// Whether the answer carries the target's proof of origin.
-    pub is_sealed: bool,
+    /// Whether the answer carries the target's signature.
+    pub is_signed: bool,
 }
 
 /// `DecodeError` is a document that cannot be understood.
--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -66,14 +66,14 @@
     streams: Arc<AtomicUsize>,
     retries: Mutex<Budgets<WorkName>>,
     is_stopping: AtomicBool,
-    at_work: Arc<AtomicUsize>,
+    in_flight: Arc<AtomicUsize>,
 }
 
-/// `AtWork` counts a request as long as it is held.
+/// `InFlight` counts a request until it is dropped.
 #[derive(Debug)]
-pub struct AtWork(Arc<AtomicUsize>);
+pub struct InFlight(Arc<AtomicUsize>);
 
-impl Drop for AtWork {
+impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
@@ -108,34 +108,34 @@
             streams: Arc::default(),
             retries: Mutex::default(),
             is_stopping: AtomicBool::new(false),
-            at_work: Arc::default(),
+            in_flight: Arc::default(),
         };
         gateway.size_retries(1);
         Ok(Arc::new(gateway))
     }
 
-    /// The account of the fleet's load; held for one decision, never across I/O.
+    /// The account of the fleet's load; locked for one decision, never across I/O.
     pub fn account(&self) -> MutexGuard<'_, Account> {
         self.account.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Counts a request as at work while the value is held.
+    /// Counts a request as in flight until the value is dropped.
     #[must_use]
-    pub fn begin_work(&self) -> AtWork {
-        self.at_work.fetch_add(1, Ordering::AcqRel);
-        AtWork(Arc::clone(&self.at_work))
+    pub fn begin_request(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight(Arc::clone(&self.in_flight))
     }
 
-    /// Counts a stream while the value is held; nothing when the processor cannot relay it.
+    /// Counts a stream until the value is dropped; nothing when the stream limit is reached.
     #[must_use]
-    pub fn begin_stream(&self) -> Option<AtWork> {
+    pub fn begin_stream(&self) -> Option<InFlight> {
         let streams = self.streams.load(Ordering::Acquire);
         let now = self.clock.monotonic();
         if !self.overload().admits(streams, now) {
             return None;
         }
         self.streams.fetch_add(1, Ordering::AcqRel);
-        Some(AtWork(Arc::clone(&self.streams)))
+        Some(InFlight(Arc::clone(&self.streams)))
     }
 
     fn overload(&self) -> MutexGuard<'_, Overload> {
@@ -144,7 +144,7 @@
 
     /// Learns from late timers how many streams the processor can relay.
     async fn watch_overload(self: Arc<Self>) {
-        let mut was_away = false;
+        let mut was_out = false;
         loop {
             let due = self.clock.monotonic() + LAG_CHECK;
             tokio::time::sleep(LAG_CHECK).await;
@@ -153,21 +153,21 @@
             let mut overload = self.overload();
             overload.observe(lag, streams);
             self.metrics.streams(streams, overload.limit());
-            let is_away = overload.is_away(self.clock.monotonic());
-            if is_away != was_away {
+            let is_out_of_rotation = overload.is_out_of_rotation(self.clock.monotonic());
+            if is_out_of_rotation != was_out {
                 log::warn!(
-                    is_away, streams, limit = overload.limit(), lag_ms = lag.as_millis() as u64;
+                    is_out_of_rotation, streams, limit = overload.limit(), lag_ms = lag.as_millis() as u64;
                     "processor overloaded, out of the balancer's rotation"
                 );
             }
-            was_away = is_away;
+            was_out = is_out_of_rotation;
         }
     }
 
-    /// Requests that are at work.
+    /// Requests that are in flight.
     #[must_use]
-    pub fn at_work(&self) -> usize {
-        self.at_work.load(Ordering::Acquire)
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
     }
 
     /// Whether the balancer should send callers here.
@@ -175,7 +175,7 @@
     pub fn is_ready(&self) -> bool {
         !self.is_stopping.load(Ordering::Acquire)
             && self.knowledge.table().is_some()
-            && !self.overload().is_away(self.clock.monotonic())
+            && !self.overload().is_out_of_rotation(self.clock.monotonic())
     }
 
     /// Answers the balancer: 200 while callers should be sent here, 503 otherwise.
@@ -218,7 +218,7 @@
         self.settings.store(Arc::new(settings));
     }
 
-    /// Serves until `stop` completes, then ends what is at work.
+    /// Serves until `stop` completes, then completes what is in flight.
     ///
     /// # Errors
     /// When an address cannot be bound.
@@ -237,7 +237,7 @@
         tokio::spawn(Arc::clone(&self).watch_overload());
         log::info!(vm:% = settings.vm, domain:% = settings.domain; "started");
         stop.await;
-        log::info!(at_work = self.at_work(); "stopping");
+        log::info!(in_flight = self.in_flight(); "stopping");
         let began = self.clock.monotonic();
         let grace = settings.bounds.stop_grace();
         self.is_stopping.store(true, Ordering::Release);
@@ -245,22 +245,23 @@
         tokio::time::sleep(LEAVE_ROTATION.min(grace / 2)).await;
         callers.close();
         let deadline = began + grace.saturating_sub(STOP_MARGIN);
-        while (self.at_work() > 0 || callers.connections() > 0) && self.clock.monotonic() < deadline
+        while (self.in_flight() > 0 || callers.connections() > 0)
+            && self.clock.monotonic() < deadline
         {
             tokio::time::sleep(STOP_POLL).await;
         }
-        log::info!(at_work = self.at_work(); "stopped");
+        log::info!(in_flight = self.in_flight(); "stopped");
         Ok(())
     }
 
     /// Takes each change of configuration and targets into the account.
     async fn follow_knowledge(self: Arc<Self>) {
         let mut changes = self.knowledge.subscribe();
-        let mut known = BTreeMap::new();
+        let mut listed = BTreeMap::new();
         loop {
             if let Some(table) = self.knowledge.table() {
                 let targets = self.knowledge.targets();
-                log_targets(&mut known, &targets);
+                log_targets(&mut listed, &targets);
                 self.account().set_targets(&targets, &table);
                 self.metrics.knowledge(table.revision, targets.len());
                 let addresses: Vec<SocketAddr> = targets.iter().map(|t| t.address).collect();
@@ -281,7 +282,7 @@
     }
 }
 
-/// Writes which targets have come, changed their state or gone.
+/// Logs targets that were added, changed their state or were removed.
 fn log_targets(known: &mut BTreeMap<TargetName, TargetState>, targets: &[TargetEntry]) {
     let now: BTreeMap<TargetName, TargetState> =
         targets.iter().map(|t| (t.name.clone(), t.state)).collect();
@@ -295,7 +296,7 @@
     known.retain(|name, _| {
         let is_listed = now.contains_key(name);
         if !is_listed {
-            log::info!(target:% = name; "target gone from the list");
+            log::info!(target:% = name; "target removed");
         }
         is_listed
     });
--- a/samphiresill-gateway/src/knowledge.rs
+++ b/samphiresill-gateway/src/knowledge.rs
@@ -1,4 +1,4 @@
-//! What a router knows of the configuration and the targets, from the store or from peers.
+//! Configuration and targets as known to a router, from the store or from peers.
 //!
 //! Invariants: the revision in force never falls; the directory's version never falls.
 
@@ -13,10 +13,10 @@
 
 use crate::dialect::Dialect;
 
-/// Bytes of news that are told at once; larger ones are fetched.
-const MAX_NEWS_BYTES: usize = 1_100;
+/// Size of a delta that is sent in a datagram, in bytes; larger ones are fetched.
+const MAX_DELTA_BYTES: usize = 1_100;
 
-/// `Versions` tell how new a router's knowledge is.
+/// `Versions` are the versions of a router's knowledge.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
     /// Revision of the configuration; 0 while none is known.
@@ -36,9 +36,9 @@
     pub version: u64,
 }
 
-/// `News` are the newest changes of the directory, for gateways that know all before them.
+/// `DirectoryDelta` are the newest changes of the directory, relative to a base version.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct News {
+pub struct DirectoryDelta {
     /// Version before the changes.
     pub base: u64,
     /// Version with the changes.
@@ -51,7 +51,7 @@
 struct Directory {
     version: u64,
     rows: BTreeMap<String, Change>,
-    news: Option<News>,
+    delta: Option<DirectoryDelta>,
 }
 
 impl Directory {
@@ -66,7 +66,7 @@
     }
 }
 
-/// `Watching` says whether this gateway follows the store.
+/// `Watching` is whether this gateway watches the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Watching {
     is_wanted: bool,
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Says whether this gateway should follow the store; the others tell it otherwise.
+    /// Sets whether this gateway should watch the store.
     pub fn set_watching(&self, is_wanted: bool) {
         let is_new = self.watching.send_if_modified(|w| {
             let is_new = w.is_wanted != is_wanted;
@@ -106,11 +106,11 @@
             is_new
         });
         if is_new {
-            log::info!(is_wanted; "following the store");
+            log::info!(is_wanted; "watching the store");
         }
     }
 
-    /// Says whether the store answers.
+    /// Sets whether the store answers.
     pub fn report_store(&self, is_answered: bool) {
         self.watching.send_if_modified(|w| {
             let is_new = w.is_answered != is_answered;
@@ -119,13 +119,13 @@
         });
     }
 
-    /// Whether this gateway follows the store, and the store answers it.
+    /// Whether this gateway watches the store, and the store answers it.
     #[must_use]
     pub fn is_watching(&self) -> bool {
         self.watching.borrow().is_answered
     }
 
-    /// Waits until this gateway should follow the store, or should not.
+    /// Waits until this gateway should watch the store, or should not.
     pub async fn watching_becomes(&self, is_wanted: bool) {
         let mut watching = self.watching.subscribe();
         // The sender lives as long as `self`.
@@ -158,7 +158,7 @@
         let table = match self.dialect.routing_table(document) {
             Ok(table) => table,
             Err(e) => {
-                log::error!(source, error:% = e; "configuration not understood, the former one stays");
+                log::error!(source, error:% = e; "configuration not valid, keeping the former one");
                 return;
             }
         };
@@ -174,14 +174,14 @@
         self.changed.send_replace(());
     }
 
-    /// Takes changes of the directory that the store tells.
+    /// Applies changes of the directory from the store.
     pub fn apply_changes(&self, changes: Vec<Change>) {
         let mut directory = lock(&self.directory);
         let base = directory.version;
         let newest = changes.iter().map(|c| c.version).max().unwrap_or(0);
         directory.apply(changes.clone());
         directory.version = base.max(newest);
-        directory.news = Some(News {
+        directory.delta = Some(DirectoryDelta {
             base,
             version: directory.version,
             changes,
@@ -190,7 +190,7 @@
         self.changed.send_replace(());
     }
 
-    /// Takes the whole directory as it stood at `version`; what is not in it is gone.
+    /// Replaces the directory by the whole of it as of `version`.
     pub fn replace_directory(&self, changes: Vec<Change>, version: u64) {
         let mut directory = lock(&self.directory);
         let newest = changes.iter().map(|c| c.version).max().unwrap_or(0);
@@ -201,31 +201,34 @@
         directory.rows = listed.chain(newer).collect();
         // Gateways compare the versions of rows: that of the store rises without a change too.
         directory.version = directory.version.max(newest);
-        directory.news = None;
+        directory.delta = None;
         drop(directory);
         self.changed.send_replace(());
     }
 
-    /// Takes the newest changes from a peer, if this gateway knows all before them.
-    pub fn take_news(&self, news: News) {
+    /// Applies the newest changes from a peer, if the base version is known.
+    pub fn apply_delta(&self, delta: DirectoryDelta) {
         let mut directory = lock(&self.directory);
-        let is_next = directory.version >= news.base && directory.version < news.version;
+        let is_next = directory.version >= delta.base && directory.version < delta.version;
         if !is_next {
             return;
         }
-        directory.apply(news.changes.clone());
-        directory.version = news.version;
-        directory.news = Some(news);
+        directory.apply(delta.changes.clone());
+        directory.version = delta.version;
+        directory.delta = Some(delta);
         drop(directory);
         self.changed.send_replace(());
     }
 
     /// The newest changes of the directory, if they are known one by one.
     #[must_use]
-    pub fn news(&self) -> Option<News> {
+    pub fn delta(&self) -> Option<DirectoryDelta> {
         let directory = lock(&self.directory);
-        let size = |n: &News| n.changes.iter().map(change_bytes).sum::<usize>();
-        directory.news.clone().filter(|n| size(n) <= MAX_NEWS_BYTES)
+        let size = |n: &DirectoryDelta| n.changes.iter().map(change_bytes).sum::<usize>();
+        directory
+            .delta
+            .clone()
+            .filter(|n| size(n) <= MAX_DELTA_BYTES)
     }
 
     /// The usable entries of the directory.
@@ -237,7 +240,7 @@
             match self.dialect.target_entry(&c.name, document) {
                 Ok(entry) => Some(entry),
                 Err(e) => {
-                    log::warn!(target = c.name.as_str(), error:% = e; "entry of a target not understood, not used");
+                    log::warn!(target = c.name.as_str(), error:% = e; "entry of a target not valid, not used");
                     None
                 }
             }
--- a/samphiresill-gateway/src/lib.rs
+++ b/samphiresill-gateway/src/lib.rs
@@ -1,8 +1,8 @@
 //! The request path of a router: callers on one side, targets on the other, decisions between.
 //!
-//! The crate knows no wire names: a [`dialect::Dialect`] reads and writes them. What a router
-//! knows of configuration and targets is in [`knowledge::Knowledge`]; routers tell each other of
-//! their load and pass on newer knowledge through [`peers`].
+//! The crate knows no wire names: a [`dialect::Dialect`] reads and writes them. Configuration
+//! and targets are in [`knowledge::Knowledge`]; routers exchange their load and newer knowledge
+//! through [`peers`].
 
 pub mod callers;
 pub mod connection;
--- a/samphiresill-gateway/src/listener.rs
+++ b/samphiresill-gateway/src/listener.rs
@@ -77,7 +77,7 @@
         Ok(Self { closing, occupancy })
     }
 
-    /// Accepts nothing more, and tells the open connections to end.
+    /// Accepts nothing more, and signals the open connections to end.
     pub fn close(&self) {
         self.closing.send_replace(true);
     }
--- a/samphiresill-gateway/src/log_budget.rs
+++ b/samphiresill-gateway/src/log_budget.rs
@@ -10,7 +10,7 @@
 /// Time to which the bounds apply.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// `Kind` is a kind of line; requests that were not served have more room than others.
+/// `Kind` is a kind of line; requests that failed have a larger budget than others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub enum Kind {
     /// A request was served.
@@ -41,7 +41,7 @@
     lines: BTreeMap<Kind, u32>,
 }
 
-/// `LogBudget` bounds the lines, and tells how many were left out.
+/// `LogBudget` bounds the lines, and logs how many were suppressed.
 pub struct LogBudget {
     clock: Arc<dyn Clock>,
     window: Mutex<Window>,
@@ -66,9 +66,9 @@
             let ended = std::mem::take(&mut *window);
             window.began = now;
             for (kind, lines) in ended.lines {
-                let left_out = lines.saturating_sub(kind.limit());
-                if left_out > 0 {
-                    log::info!(kind:%, left_out; "lines left out");
+                let suppressed = lines.saturating_sub(kind.limit());
+                if suppressed > 0 {
+                    log::info!(kind:%, suppressed; "lines suppressed");
                 }
             }
         }
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -29,7 +29,7 @@
     /// A target's own failure was passed on.
     #[display("target_failure")]
     TargetFailure,
-    /// Refused for lack of room.
+    /// Refused for lack of capacity.
     #[display("refused")]
     Refused,
     /// Refused because this router's processor is overloaded.
@@ -51,7 +51,7 @@
     attempts_failed: Counter<u64>,
     first_event: Histogram<f64>,
     whole: Histogram<f64>,
-    waiting: Histogram<f64>,
+    queueing: Histogram<f64>,
     streams: Gauge<u64>,
     stream_limit: Gauge<f64>,
     revision: Gauge<u64>,
@@ -72,7 +72,7 @@
             attempts_failed: meter.u64_counter("gateway_attempts_failed").build(),
             first_event: histogram(&meter, "gateway_first_event_seconds"),
             whole: histogram(&meter, "gateway_request_seconds"),
-            waiting: histogram(&meter, "gateway_waiting_seconds"),
+            queueing: histogram(&meter, "gateway_queueing_seconds"),
             streams: meter.u64_gauge("gateway_streams").build(),
             stream_limit: meter.f64_gauge("gateway_stream_limit").build(),
             revision: meter.u64_gauge("gateway_configuration_revision").build(),
@@ -99,9 +99,9 @@
         self.first_event.record(took.as_secs_f64(), &[]);
     }
 
-    /// Takes in how long a request waited in the router for room.
-    pub fn waited(&self, took: Duration) {
-        self.waiting.record(took.as_secs_f64(), &[]);
+    /// Takes in how long a request was queued in the router.
+    pub fn queued(&self, took: Duration) {
+        self.queueing.record(took.as_secs_f64(), &[]);
     }
 
     /// Takes in the streams that are relayed, and how many may be.
@@ -136,8 +136,8 @@
 
 fn kind(exchange: Exchange) -> &'static str {
     match exchange {
-        Exchange::Read => "read",
-        Exchange::Order => "order",
+        Exchange::Idempotent => "idempotent",
+        Exchange::NonIdempotent => "non_idempotent",
         Exchange::Generation { .. } => "generation",
     }
 }
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -7,10 +7,10 @@
 use samphiresill_sched::fleet::account::Placement;
 use samphiresill_sched::fleet::admission::Refusal;
 use samphiresill_sched::fleet::event::Event;
-use samphiresill_sched::fleet::work::{Ask, Generation, RunId};
+use samphiresill_sched::fleet::work::{Generation, PlacementRequest, RunId};
 use serde::{Deserialize, Serialize};
 
-use crate::knowledge::{News, Versions};
+use crate::knowledge::{DirectoryDelta, Versions};
 
 /// Bytes of a datagram at most; larger ones would be fragmented on most links.
 pub const MAX_BYTES: usize = 1_400;
@@ -18,22 +18,22 @@
 /// `Frame` is one datagram.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Frame {
-    /// About who lives.
+    /// Membership.
     Member {
         /// The sender.
         from: VmName,
         /// What it says.
         message: Message,
     },
-    /// About load and knowledge.
+    /// Load and versions of knowledge.
     Load(LoadFrame),
-    /// Asks a scheduler for a target.
-    Ask(AskFrame),
-    /// Answers an ask.
-    Answer(AnswerFrame),
+    /// Requests a placement from a scheduler.
+    PlacementRequest(PlacementRequestFrame),
+    /// Replies to a placement request.
+    Placed(PlacementReplyFrame),
 }
 
-/// `LoadFrame` is what a gateway tells of its load and its knowledge.
+/// `LoadFrame` is what a gateway announces of its load and its knowledge.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct LoadFrame {
     /// The gateway, new with each start of its process.
@@ -42,19 +42,19 @@
     pub versions: Versions,
     /// Whether it follows the store, and the store answers it.
     pub is_watching: bool,
-    /// Whether the receiver is to tell the other schedulers.
+    /// Whether the receiver should pass the events on to the other schedulers.
     pub is_for_relay: bool,
     /// Changes of the load.
     pub events: Vec<Event>,
     /// All its runs, now and then; those that are not listed have ended.
     pub runs: Option<Vec<u32>>,
     /// The newest change of the directory of targets, if it is small.
-    pub news: Option<News>,
+    pub delta: Option<DirectoryDelta>,
 }
 
-/// `AskFrame` asks a scheduler for a target.
+/// `PlacementRequestFrame` requests a placement from a scheduler.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct AskFrame {
+pub struct PlacementRequestFrame {
     /// Identifies the run.
     pub run: RunId,
     /// The customer.
@@ -64,45 +64,45 @@
     /// Present for requests to model engines.
     pub generation: Option<Generation>,
     /// Time to the first byte within which the answer is on time.
-    pub aim: Duration,
+    pub latency_objective: Duration,
     /// Time until the answer must have ended.
     pub time_left: Duration,
-    /// Failure domain of the asking gateway.
+    /// Failure domain of the requesting gateway.
     pub domain: DomainName,
     /// Targets that were tried already.
     pub tried: Vec<TargetName>,
-    /// How long the request has waited for room.
+    /// How long the request has been queued in its router.
     pub waited: Duration,
     /// Whether the request has run before.
     pub has_run: bool,
 }
 
-impl AskFrame {
-    /// The frame for an ask.
+impl PlacementRequestFrame {
+    /// The frame for a request.
     #[must_use]
-    pub fn new(run: RunId, ask: &Ask<'_>) -> Self {
+    pub fn new(run: RunId, req: &PlacementRequest<'_>) -> Self {
         Self {
             run,
-            customer: ask.customer.cloned(),
-            service: ask.service.clone(),
-            generation: ask.generation.cloned(),
-            aim: ask.aim,
-            time_left: ask.time_left,
-            domain: ask.domain.clone(),
-            tried: ask.tried.to_vec(),
-            waited: ask.waited,
-            has_run: ask.has_run,
+            customer: req.customer.cloned(),
+            service: req.service.clone(),
+            generation: req.generation.cloned(),
+            latency_objective: req.latency_objective,
+            time_left: req.time_left,
+            domain: req.domain.clone(),
+            tried: req.tried.to_vec(),
+            waited: req.waited,
+            has_run: req.has_run,
         }
     }
 
-    /// The ask in the frame.
+    /// The request in the frame.
     #[must_use]
-    pub fn ask(&self) -> Ask<'_> {
-        Ask {
+    pub fn request(&self) -> PlacementRequest<'_> {
+        PlacementRequest {
             customer: self.customer.as_ref(),
             service: &self.service,
             generation: self.generation.as_ref(),
-            aim: self.aim,
+            latency_objective: self.latency_objective,
             time_left: self.time_left,
             domain: &self.domain,
             tried: &self.tried,
@@ -112,10 +112,10 @@
     }
 }
 
-/// `AnswerFrame` answers an ask.
+/// `PlacementReplyFrame` replies to a placement request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct AnswerFrame {
-    /// The run that was asked for.
+pub struct PlacementReplyFrame {
+    /// The run of the request.
     pub run: RunId,
     /// Where to send it, or that it is refused.
     pub decision: Result<Placement, Refusal>,
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -1,16 +1,17 @@
-//! What gateways tell each other: who lives, what load they cause, and how new their knowledge is.
+//! Communication between gateways: membership, load, and versions of configuration and targets.
 //!
-//! Some gateways, the strongest of each failure domain, keep the account of the fleet's load: the
-//! schedulers. They tell each other every change within tens of milliseconds; in a small fleet all
-//! are schedulers. The others ask one of them where to send a request, and decide on their own
-//! account when none answers in time. A few of the schedulers follow the store for all; whoever
-//! has older knowledge fetches it from a peer, so that a gateway that the store does not serve
-//! learns from the others.
+//! The gateways with the most processing power in each failure domain are schedulers: they keep the
+//! account of the fleet's load and replicate its changes to each other within tens of milliseconds.
+//! In a small fleet all are schedulers. The others request placements from one of them, and decide
+//! on their own account when none replies in time. A few of the schedulers watch the store for all;
+//! a gateway with older knowledge fetches it from a peer, also when the store does not serve it.
 
-pub mod asks;
 pub mod driver;
 pub mod frame;
+mod load;
+pub mod placement;
 pub mod snapshot;
+mod watching;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,18 +23,18 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, watch};
 
-use self::frame::{AnswerFrame, Frame};
+use self::frame::{Frame, PlacementReplyFrame};
 use crate::gateway::Gateway;
 
-/// `Schedulers` are the gateways to ask, as the driver sees them now.
+/// `Schedulers` are the gateways that place requests.
 #[derive(Debug, Default)]
 struct Schedulers {
     /// Whether this gateway decides itself.
     is_own: bool,
-    /// Those to ask, in order.
+    /// Those to request placements from, in order.
     order: Vec<SocketAddr>,
-    /// Those that did not answer in time, and until when they are passed over.
-    late_until: BTreeMap<SocketAddr, Duration>,
+    /// Those that did not reply in time, and until when they are skipped.
+    skipped_until: BTreeMap<SocketAddr, Duration>,
 }
 
 /// `Peers` is what the request path and the driver share.
@@ -42,7 +43,7 @@
     socket: UdpSocket,
     own: SocketAddr,
     schedulers: Mutex<Schedulers>,
-    pending: Mutex<BTreeMap<u32, oneshot::Sender<AnswerFrame>>>,
+    pending: Mutex<BTreeMap<u32, oneshot::Sender<PlacementReplyFrame>>>,
     leaving: watch::Sender<bool>,
 }
 
@@ -79,7 +80,7 @@
         Ok(())
     }
 
-    /// Tells the others that this gateway stops.
+    /// Announces that this gateway stops.
     pub fn announce_leaving(&self) {
         self.leaving.send_replace(true);
     }
@@ -111,7 +112,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn pending(&self) -> MutexGuard<'_, BTreeMap<u32, oneshot::Sender<AnswerFrame>>> {
+    fn pending(&self) -> MutexGuard<'_, BTreeMap<u32, oneshot::Sender<PlacementReplyFrame>>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/samphiresill-gateway/src/relay/answer.rs
+++ b/samphiresill-gateway/src/relay/answer.rs
@@ -11,7 +11,7 @@
 use hyper::{Response, StatusCode};
 
 use super::stream::Stream;
-use crate::gateway::AtWork;
+use crate::gateway::InFlight;
 
 #[derive(Debug)]
 enum Content {
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct Answer {
     content: Content,
-    at_work: Option<AtWork>,
+    in_flight: Option<InFlight>,
 }
 
 impl Answer {
@@ -32,7 +32,7 @@
     pub fn whole(bytes: Bytes) -> Self {
         Self {
             content: Content::Whole(Some(bytes).filter(|b| !b.is_empty())),
-            at_work: None,
+            in_flight: None,
         }
     }
 
@@ -41,13 +41,13 @@
     pub fn stream(stream: Stream) -> Self {
         Self {
             content: Content::Stream(Box::new(stream)),
-            at_work: None,
+            in_flight: None,
         }
     }
 
     /// Counts the request as at work until the body has ended.
-    pub fn hold(&mut self, at_work: AtWork) {
-        self.at_work = Some(at_work);
+    pub fn hold(&mut self, in_flight: InFlight) {
+        self.in_flight = Some(in_flight);
     }
 }
 
@@ -91,7 +91,7 @@
     response
 }
 
-/// A refusal: the request has not run and will not run; the caller may return after `delay`.
+/// A refusal: the request has not run and will not run; the caller may retry after `delay`.
 #[must_use]
 pub fn refusal(reason: &str, delay: Duration) -> Response<Answer> {
     let mut response = local(StatusCode::SERVICE_UNAVAILABLE, reason);
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -204,7 +204,7 @@
             "an answer to another request",
         ));
     }
-    if head.status.is_success() && !said.is_sealed {
+    if head.status.is_success() && !said.is_signed {
         return Err(Failure::new(
             FailurePoint::DuringAnswer,
             "a success without proof of origin",
--- a/samphiresill-gateway/src/relay/call.rs
+++ b/samphiresill-gateway/src/relay/call.rs
@@ -1,4 +1,4 @@
-//! One request of a caller, read whole, with what the configuration says of it.
+//! One request of a caller with its whole body, its route and its customer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,7 +33,7 @@
     pub headers: HeaderMap,
     /// Body, as sent.
     pub body: Bytes,
-    /// Monotonic time at which the request was read.
+    /// Monotonic time at which the head of the request had arrived.
     pub started: Duration,
     /// Monotonic time at which it must have its final answer.
     pub ends: Duration,
--- a/samphiresill-gateway/src/relay/events.rs
+++ b/samphiresill-gateway/src/relay/events.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Bytes of one event that are held at most.
+/// Bytes of one event that are buffered at most.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// `Event` is one whole event of a stream, as received.
@@ -36,7 +36,7 @@
         Some(Event { bytes, id })
     }
 
-    /// Whether bytes of an unfinished event are held.
+    /// Whether bytes of an unfinished event are buffered.
     #[must_use]
     pub fn has_rest(&self) -> bool {
         !self.buf.is_empty()
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -12,13 +12,13 @@
 use samphiresill_core::outcome;
 use samphiresill_sched::fleet::admission::Refusal;
 use samphiresill_sched::fleet::event::RunResult;
-use samphiresill_sched::fleet::work::Ask;
+use samphiresill_sched::fleet::work::PlacementRequest;
 
 use super::answer::{self, Answer};
 use super::attempt::{self, Answering, Failure, Running};
 use super::call::Call;
 use super::stream;
-use crate::gateway::{AtWork, Gateway};
+use crate::gateway::{Gateway, InFlight};
 use crate::log_budget::Kind;
 use crate::metrics;
 
@@ -28,10 +28,10 @@
 const MIN_TIME: Duration = Duration::from_millis(20);
 /// Part of the time left that an attempt may take when another one may follow.
 const FIRST_ATTEMPT_PART: f64 = 0.45;
-/// Time to the head of a stream's answer, in multiples of its aim, when another attempt may
+/// Time to the head of a stream's answer, in multiples of its latency objective, when another attempt may
 /// follow: callers give up a stream after four.
-const STREAM_HEAD_AIMS: f64 = 2.5;
-/// Pause that is asked for when targets have refused or could not be reached.
+const STREAM_HEAD_OBJECTIVES: f64 = 2.5;
+/// `Retry-After` when targets have refused or could not be reached.
 const TARGETS_BUSY_RETRY: Duration = Duration::from_millis(300);
 
 /// `End` is why no further attempt follows.
@@ -177,28 +177,28 @@
             && self.tried.len() + 1 < MAX_SENDS
     }
 
-    /// Finds a target; a request for which there will be room soon waits for it.
+    /// Finds a target; a request for which capacity is expected soon is queued.
     async fn place(&self) -> Result<Running, End> {
         let began = self.gateway.clock.monotonic();
         loop {
             let now = self.gateway.clock.monotonic();
-            let ask = Ask {
+            let req = PlacementRequest {
                 customer: self.call.customer.as_ref(),
                 service: &self.call.service,
                 generation: self.call.generation.as_ref(),
-                aim: self.call.route.aim,
+                latency_objective: self.call.route.latency_objective,
                 time_left: self.call.time_left(now),
                 domain: &self.gateway.domain,
                 tried: &self.tried,
                 waited: now.saturating_sub(began),
                 has_run: self.runs > 0,
             };
-            match self.gateway.peers.place(&self.gateway, &ask).await {
+            match self.gateway.peers.place(&self.gateway, &req).await {
                 Ok(placement) => {
-                    self.gateway.metrics.waited(ask.waited);
+                    self.gateway.metrics.queued(req.waited);
                     return Ok(Running::new(Arc::clone(&self.gateway), placement));
                 }
-                Err(refusal) => match refusal.look_again {
+                Err(refusal) => match refusal.recheck_in {
                     Some(pause) => tokio::time::sleep(pause).await,
                     None if self.runs > 0 => return Err(End::Lost(FailurePoint::Connect)),
                     None => return Err(End::Refused(refusal)),
@@ -214,8 +214,8 @@
         let limit = if self.call.is_stream() {
             self.call
                 .route
-                .aim
-                .mul_f64(STREAM_HEAD_AIMS)
+                .latency_objective
+                .mul_f64(STREAM_HEAD_OBJECTIVES)
                 .max(expected * 2)
         } else {
             time_left.mul_f64(FIRST_ATTEMPT_PART)
@@ -240,12 +240,12 @@
     }
 }
 
-/// Serves a request that was read: attempts, then the answer. `stream` counts it among the
-/// streams that are relayed, until it ends.
+/// Serves a request: attempts, then the answer. `stream` counts it towards the stream limit until
+/// it ends.
 pub async fn forward(
     gateway: &Arc<Gateway>,
     call: Call,
-    stream: Option<AtWork>,
+    stream: Option<InFlight>,
 ) -> Response<Answer> {
     gateway.earn_retries(&call.service);
     let call = Arc::new(call);
@@ -314,7 +314,7 @@
             "answered"
         );
     }
-    Ok(pass_on(head, Answer::whole(bytes)))
+    Ok(forward_response(head, Answer::whole(bytes)))
 }
 
 /// What a failed attempt shows of its target.
@@ -327,7 +327,7 @@
 
 /// The answer of a target, without what concerns only the connection that it came on.
 #[must_use]
-pub fn pass_on(head: http::response::Parts, body: Answer) -> Response<Answer> {
+pub fn forward_response(head: http::response::Parts, body: Answer) -> Response<Answer> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     let mut headers = head.headers;
@@ -350,49 +350,54 @@
     gateway
         .metrics
         .ended(call.route.exchange, end.counted(), took);
-    let (response, reason) = match end {
+    let (status, reason) = match end {
+        End::Refused(refusal) => return refused(gateway, call, &refusal),
         End::PassOn(answer) => {
             let (head, bytes) = *answer;
-            (
-                pass_on(head, Answer::whole(bytes)),
-                "target's own failure".to_owned(),
-            )
-        }
-        End::Refused(refusal) => {
-            let reason = refusal.reason.to_string();
-            (answer::refusal(&reason, refusal.retry_after), reason)
+            log_failed(gateway, call, head.status, "the target's own failure");
+            return forward_response(head, Answer::whole(bytes));
         }
         End::Unavailable | End::TimeUp { has_run: false } => {
             let reason = "no target took it";
-            (
-                answer::refusal(reason, TARGETS_BUSY_RETRY),
-                reason.to_owned(),
-            )
+            log_failed(gateway, call, StatusCode::SERVICE_UNAVAILABLE, reason);
+            return answer::refusal(reason, TARGETS_BUSY_RETRY);
         }
         End::Lost(FailurePoint::Silence) | End::TimeUp { has_run: true } => {
-            let reason = "no answer in time";
-            (
-                answer::local(StatusCode::GATEWAY_TIMEOUT, reason),
-                reason.to_owned(),
-            )
+            (StatusCode::GATEWAY_TIMEOUT, "no answer in time".to_owned())
         }
         End::Lost(point) => {
             let reason = format!("the target's answer is lost: {point}");
-            (answer::local(StatusCode::BAD_GATEWAY, &reason), reason)
+            (StatusCode::BAD_GATEWAY, reason)
         }
     };
-    let kind = if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        Kind::Refused
-    } else {
-        Kind::Failed
-    };
-    if gateway.lines.allows(kind) {
+    log_failed(gateway, call, status, &reason);
+    answer::local(status, &reason)
+}
+
+/// Answers a request that was refused, with the inputs of the decision in the log.
+fn refused(gateway: &Gateway, call: &Call, refusal: &Refusal) -> Response<Answer> {
+    let basis = refusal.basis;
+    if gateway.lines.allows(Kind::Refused) {
         log::info!(
-            request:% = call.request, route = &*call.route.name,
-            status = response.status().as_u16(), reason = reason.as_str(),
-            ms = took.as_millis() as u64;
+            request:% = call.request, route = &*call.route.name, reason:% = refusal.reason,
+            wait_ms = basis.wait.as_millis() as u64,
+            token_interval_ms = basis.token_interval_ms,
+            interval_target_ms = basis.interval_target_ms, share_ratio = basis.share_ratio,
+            queued_ms = basis.waited.as_millis() as u64,
+            retry_after_ms = refusal.retry_after.as_millis() as u64;
+            "refused"
+        );
+    }
+    answer::refusal(&refusal.reason.to_string(), refusal.retry_after)
+}
+
+fn log_failed(gateway: &Gateway, call: &Call, status: StatusCode, reason: &str) {
+    let took = gateway.clock.monotonic().saturating_sub(call.started);
+    if gateway.lines.allows(Kind::Failed) {
+        log::info!(
+            request:% = call.request, route = &*call.route.name, status = status.as_u16(),
+            reason, ms = took.as_millis() as u64;
             "not served"
         );
     }
-    response
 }
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -1,4 +1,4 @@
-//! The way of a request: reading and routing, attempts at targets, the answer.
+//! The request path: routing, attempts at targets, the answer.
 
 pub mod answer;
 pub mod attempt;
@@ -25,7 +25,7 @@
 use crate::log_budget;
 use crate::metrics::End;
 
-/// Pause that is asked for while no configuration is known.
+/// `Retry-After` while no configuration is known.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 
 /// `Refused` is an answer of the gateway itself, in place of a request that can be forwarded.
@@ -33,13 +33,13 @@
 
 /// Serves one request of a caller.
 pub async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Answer> {
-    let at_work = gateway.begin_work();
+    let in_flight = gateway.begin_request();
     let started = gateway.clock.monotonic();
     let mut response = match read(&gateway, req, started).await {
         Ok(call) => serve(&gateway, call).await,
         Err(refused) => *refused,
     };
-    response.body_mut().hold(at_work);
+    response.body_mut().hold(in_flight);
     response
 }
 
@@ -86,7 +86,7 @@
     };
     let (parts, body) = req.into_parts();
     let body = read_body(&table, &parts.headers, body).await?;
-    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let service = route.service(rand::random()).clone();
     let is_generation = matches!(route.exchange, Exchange::Generation { .. });
     let is_engine = table
@@ -107,7 +107,7 @@
         headers: parts.headers,
         body,
         started,
-        ends: started + patience,
+        ends: started + timeout,
         route,
     })
 }
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -1,7 +1,7 @@
 //! A stream of events on its way to a caller, continued by another run where that is allowed.
 //!
-//! The caller's connection polls the target's body directly, so that a caller who reads slowly
-//! slows its target, and one who leaves ends the run by dropping the body.
+//! The caller's connection polls the target's body directly, so that back-pressure reaches
+//! the target, and a caller that disconnects ends the run by dropping the body.
 //!
 //! Invariant: of a stream that may be resumed, only whole events are delivered, each id once and
 //! in rising order; the body ends as complete only if the last run's did.
@@ -18,6 +18,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_core::routing::Exchange;
+use samphiresill_sched::fleet::account::Placement;
 use samphiresill_sched::fleet::event::RunResult;
 use tokio::time::Sleep;
 
@@ -26,7 +27,7 @@
 use super::call::Call;
 use super::events::Splitter;
 use super::forward::{self, Attempts};
-use crate::gateway::{AtWork, Gateway};
+use crate::gateway::{Gateway, InFlight};
 use crate::log_budget::Kind;
 use crate::metrics::End;
 
@@ -76,17 +77,19 @@
     progress_at: Duration,
     noted_at: Option<Duration>,
     timer: Pin<Box<Sleep>>,
+    /// Placement of the latest run.
+    placement: Placement,
     /// Counts the stream among those that the processor relays.
-    held: Option<AtWork>,
+    in_flight: Option<InFlight>,
 }
 
-/// Begins to relay a stream; the answer keeps the head of its first run.
+/// Begins to relay a stream; the answer has the head of its first run.
 #[must_use]
 pub fn start(
     attempts: Attempts,
     running: Running,
     answering: Answering,
-    held: Option<AtWork>,
+    in_flight: Option<InFlight>,
 ) -> Response<Answer> {
     let (gateway, call) = attempts.parts();
     let answer_head = answering.head.clone();
@@ -94,6 +97,7 @@
     let stream = Stream {
         is_resumable: call.route.exchange == Exchange::Generation { is_resumable: true },
         timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
+        placement: running.placement.clone(),
         state: State::Relaying {
             attempts: Box::new(attempts),
             running: Box::new(running),
@@ -107,12 +111,12 @@
         first_at: None,
         progress_at: now,
         noted_at: None,
-        held,
+        in_flight,
     };
-    forward::pass_on(answer_head, Answer::stream(stream))
+    forward::forward_response(answer_head, Answer::stream(stream))
 }
 
-/// What a poll of the present run has brought.
+/// `Polled` is the result of polling the current run.
 enum Polled {
     Bytes(Bytes),
     Complete,
@@ -120,64 +124,69 @@
     Broken(Failure),
 }
 
+/// `Step` is what a poll result leads to.
+enum Step {
+    /// Nothing to deliver yet.
+    Continue,
+    Deliver(Bytes),
+    End,
+    Abort(io::Error),
+}
+
 impl Stream {
     /// The next piece for the caller; nothing after the end.
     pub fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         loop {
-            match &mut self.state {
-                State::Ended => return Poll::Ready(None),
+            let step = match &mut self.state {
+                State::Ended => Step::End,
                 State::Resuming(next) => {
                     let (attempts, result) = ready!(next.as_mut().poll(cx));
-                    if let Err(cause) = self.resume(attempts, result) {
-                        return Poll::Ready(Some(Err(self.break_off(&cause))));
+                    match self.resume(attempts, result) {
+                        Ok(()) => Step::Continue,
+                        Err(cause) => Step::Abort(self.abort(&cause)),
                     }
                 }
                 State::Relaying { answering, .. } => {
-                    let body = Pin::new(&mut answering.body);
-                    let polled = match poll_body(body, cx) {
+                    let polled = match poll_body(Pin::new(&mut answering.body), cx) {
                         Poll::Ready(polled) => polled,
                         Poll::Pending => ready!(self.poll_timer(cx)),
                     };
-                    match polled {
-                        Polled::Bytes(bytes) => {
-                            self.note_progress();
-                            match self.whole_events(&bytes) {
-                                Ok(bytes) if bytes.is_empty() => {}
-                                Ok(bytes) => return Poll::Ready(Some(Ok(bytes))),
-                                Err(cause) => {
-                                    let failure = Failure::new(FailurePoint::DuringAnswer, cause);
-                                    if let Some(error) = self.fail(failure) {
-                                        return Poll::Ready(Some(Err(error)));
-                                    }
-                                }
-                            }
-                        }
-                        Polled::Complete if self.splitter.has_rest() => {
-                            let cause = "the stream ended within an event";
-                            let failure = Failure::new(FailurePoint::DuringAnswer, cause);
-                            if let Some(error) = self.fail(failure) {
-                                return Poll::Ready(Some(Err(error)));
-                            }
-                        }
-                        Polled::Complete => {
-                            self.complete();
-                            return Poll::Ready(None);
-                        }
-                        Polled::TimeUp => {
-                            return Poll::Ready(Some(Err(self.break_off("time is up"))));
-                        }
-                        Polled::Broken(failure) => {
-                            if let Some(error) = self.fail(failure) {
-                                return Poll::Ready(Some(Err(error)));
-                            }
-                        }
-                    }
+                    self.take(polled)
+                }
+            };
+            return Poll::Ready(match step {
+                Step::Continue => continue,
+                Step::Deliver(bytes) => Some(Ok(bytes)),
+                Step::End => None,
+                Step::Abort(error) => Some(Err(error)),
+            });
+        }
+    }
+
+    fn take(&mut self, polled: Polled) -> Step {
+        let during_answer = |cause| Failure::new(FailurePoint::DuringAnswer, cause);
+        match polled {
+            Polled::Bytes(bytes) => {
+                self.note_progress();
+                match self.whole_events(&bytes) {
+                    Ok(bytes) if bytes.is_empty() => Step::Continue,
+                    Ok(bytes) => Step::Deliver(bytes),
+                    Err(cause) => self.fail(during_answer(cause)),
                 }
             }
+            Polled::Complete if self.splitter.has_rest() => {
+                self.fail(during_answer("the stream ended within an event"))
+            }
+            Polled::Complete => {
+                self.complete();
+                Step::End
+            }
+            Polled::TimeUp => Step::Abort(self.abort("time is up")),
+            Polled::Broken(failure) => self.fail(failure),
         }
     }
 
-    /// Looks whether the target has been silent for too long, or the time is up.
+    /// Checks for silence of the target and for the end of the time.
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Polled> {
         loop {
             ready!(self.timer.as_mut().poll(cx));
@@ -186,7 +195,7 @@
             if time_left.is_zero() {
                 return Poll::Ready(Polled::TimeUp);
             }
-            let pause = self.call.route.pause_aim.unwrap_or(DEFAULT_PAUSE);
+            let pause = self.call.route.pause_objective.unwrap_or(DEFAULT_PAUSE);
             let silent_at = self.progress_at + pause * SILENCE_PAUSES;
             let wait = if self.is_resumable {
                 if now >= silent_at {
@@ -236,8 +245,8 @@
         }
     }
 
-    /// Ends the present run; another one follows, or the error for the caller is returned.
-    fn fail(&mut self, failure: Failure) -> Option<io::Error> {
+    /// Ends the current run; another one follows where that is allowed.
+    fn fail(&mut self, failure: Failure) -> Step {
         let state = std::mem::replace(&mut self.state, State::Ended);
         let State::Relaying {
             mut attempts,
@@ -245,7 +254,7 @@
             answering,
         } = state
         else {
-            return Some(self.break_off("invariant: only a run fails"));
+            unreachable!("invariant: only a relayed run fails");
         };
         let cause = failure.cause.clone();
         let is_over = attempts.after(&mut running, failure).is_err();
@@ -253,7 +262,7 @@
         drop(answering);
         drop(running);
         if is_over {
-            return Some(self.break_off(&cause));
+            return Step::Abort(self.abort(&cause));
         }
         let resume_after = self.last_id.clone();
         let resume_after = resume_after.or(self.call.last_event.as_deref().map(str::to_owned));
@@ -261,7 +270,7 @@
             let result = attempts.next(resume_after.as_deref()).await;
             (attempts, result)
         }));
-        None
+        Step::Continue
     }
 
     fn resume(
@@ -275,6 +284,7 @@
             return Err(format!("not resumed: status {status}"));
         }
         self.splitter = Splitter::default();
+        self.placement = running.placement.clone();
         self.progress_at = self.gateway.clock.monotonic();
         self.state = State::Relaying {
             attempts,
@@ -287,7 +297,7 @@
     fn complete(&mut self) {
         self.log(COMPLETE);
         let state = std::mem::replace(&mut self.state, State::Ended);
-        self.held = None;
+        self.in_flight = None;
         if let State::Relaying {
             mut running,
             answering,
@@ -310,7 +320,7 @@
         }
     }
 
-    fn break_off(&mut self, cause: &str) -> io::Error {
+    fn abort(&mut self, cause: &str) -> io::Error {
         self.log(cause);
         let now = self.gateway.clock.monotonic();
         let end = if self.call.time_left(now).is_zero() {
@@ -320,7 +330,7 @@
         };
         self.count(end, now.saturating_sub(self.call.started));
         self.state = State::Ended;
-        self.held = None;
+        self.in_flight = None;
         io::Error::other(cause.to_owned())
     }
 
@@ -357,22 +367,17 @@
         if !self.gateway.lines.allows(kind) {
             return;
         }
-        let placement = match &self.state {
-            State::Relaying { running, .. } => Some(&running.placement),
-            _ => None,
-        };
-        let target = placement.map_or("none", |p| &p.target);
-        let estimate = placement.and_then(|p| p.estimate).unwrap_or_default();
-        let expected = placement.map_or(Duration::ZERO, |p| p.expected);
+        let target = &self.placement.target;
+        let estimate = self.placement.estimate.unwrap_or_default();
         let now = self.gateway.clock.monotonic();
         let since = |at: Duration| at.saturating_sub(self.call.started).as_millis() as u64;
         log::info!(
             request:% = self.call.request, route = &*self.call.route.name,
-            target, end, events = self.events,
-            expected_ms = expected.as_millis() as u64,
-            wait_ms = estimate.wait.as_millis() as u64, unread = estimate.unread_tokens,
+            target:%, end, events = self.events,
+            expected_ms = self.placement.expected.as_millis() as u64,
+            wait_ms = estimate.wait.as_millis() as u64, prefill = estimate.prefill_tokens,
             copied = estimate.copied_tokens, runs = estimate.runs, rate = estimate.rate,
-            pace_ms = estimate.pace_ms,
+            token_interval_ms = estimate.token_interval_ms,
             first_ms = self.first_at.map_or(0, since), ms = since(now);
             "stream ended"
         );
--- a/samphiresill-gateway/src/responder.rs
+++ b/samphiresill-gateway/src/responder.rs
@@ -15,7 +15,7 @@
 
 use crate::listener::{Accepted, Listener};
 
-/// Time for the head of a request, also on a connection that is kept.
+/// Timeout for the head of a request, also on a kept-alive connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Connections at a time; peers of a large fleet may all fetch at once.
 const MAX_CONNECTIONS: usize = 400;
--- a/samphiresill-gateway/src/settings.rs
+++ b/samphiresill-gateway/src/settings.rs
@@ -7,7 +7,7 @@
 use samphiresill_core::name::{DomainName, VmName};
 use serde::Deserialize;
 
-/// `Settings` are what a gateway has to be told before it starts.
+/// `Settings` are the settings of one gateway.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
--- a/samphiresill-member/src/roles.rs
+++ b/samphiresill-member/src/roles.rs
@@ -1,7 +1,7 @@
-//! Which routers do which duty, as a function of the view of the members.
+//! Roles of routers, as a function of the view of the members.
 //!
-//! Routers with the same view come to the same roles; with different views, duties are done more
-//! than once for a while, which each duty bears.
+//! Routers with the same view derive the same roles; with different views, a role is filled more
+//! than once for a while, which is harmless.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,17 +9,18 @@
 
 use crate::member::Member;
 
-/// `Roles` are the duties of the members.
+/// `Roles` are the roles of the members.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roles {
-    /// Routers that keep the account of the fleet's load and place requests, in order of rank.
+    /// Routers that maintain the account of the fleet's load and place requests, in order of rank.
     pub schedulers: Vec<Member>,
-    /// Routers that follow the store for all others; the first of the schedulers.
+    /// Routers that watch the store for all others; the first of the schedulers.
     pub watchers: Vec<Member>,
 }
 
 impl Roles {
-    /// Gives duties to the strongest routers, spread evenly over the failure domains.
+    /// Assigns roles to the routers with the most processing power, spread evenly over the failure
+    /// domains.
     #[must_use]
     pub fn new<'a>(
         members: impl Iterator<Item = &'a Member>,
@@ -64,8 +65,8 @@
         self.watchers.iter().any(|m| m.vm == *vm)
     }
 
-    /// The schedulers in the order in which a router should ask them: those of its failure domain
-    /// first, and routers spread evenly among them.
+    /// The schedulers in the order in which a router should contact them: those of its failure
+    /// domain first, with routers spread evenly among them.
     #[must_use]
     pub fn order_for(&self, own: &Member) -> Vec<Member> {
         let weight = |m: &Member| {
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -103,7 +103,7 @@
     u64::from_str_radix(&digits[..16], 16).expect("invariant: a hash is written in hexadecimal")
 }
 
-/// Takes over changed settings, told by a signal or not.
+/// Reloads changed settings, with a signal or without.
 async fn follow_settings(gateway: Arc<Gateway>, path: String) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
@@ -122,7 +122,7 @@
             Ok(bytes) if bytes != seen => bytes,
             Ok(_) => continue,
             Err(e) => {
-                log::warn!(error:% = e; "settings not read, the former ones stay");
+                log::warn!(error:% = e; "settings not readable, keeping the former ones");
                 continue;
             }
         };
@@ -130,7 +130,7 @@
         match Settings::parse(&String::from_utf8_lossy(&seen)) {
             Ok(settings) => gateway.reload(settings),
             Err(e) => {
-                log::error!(error:% = format!("{e:#}"); "settings not valid, the former ones stay");
+                log::error!(error:% = format!("{e:#}"); "settings not valid, keeping the former ones");
             }
         }
     }
--- a/samphiresill-sched/src/fleet/account/mod.rs
+++ b/samphiresill-sched/src/fleet/account/mod.rs
@@ -1,7 +1,7 @@
 //! One router's account of the whole fleet's load.
 //!
 //! Answers the load pattern in which several routers send to the same targets at once: each
-//! counts what all of them have sent, as far as it has heard.
+//! counts what all of them have sent, by the events that it has received.
 //!
 //! Invariant: a run is counted on one target at most, and only until its end is known.
 
@@ -19,16 +19,16 @@
 use self::target::{Load, Target};
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
-use super::holding::{Held, Holding};
-use super::pace::PaceTarget;
+use super::queueing::{Queue, QueueLimit};
 use super::shares::Shares;
-use super::work::{Ask, RunId};
+use super::token_interval::TokenIntervalTarget;
+use super::work::{PlacementRequest, RunId};
 
-/// Time for which a refused request is recognised when it returns.
-const RETURN_MEMORY: Duration = Duration::from_secs(10);
-/// Refused requests that are remembered at most.
+/// Time for which a retry of a refused request is recognised.
+const RETRY_MEMORY: Duration = Duration::from_secs(10);
+/// Refused requests that are recorded at most.
 const MAX_REFUSED: usize = 4_096;
-/// Age below which a run is not missed in its origin's list: its placement may be on the way.
+/// Age below which a run may be missing from its origin's list: its placement may be in flight.
 const LIST_LAG: Duration = Duration::from_millis(600);
 /// Age at which a run is taken as ended; longer than any route lets one last.
 const MAX_RUN_AGE: Duration = Duration::from_secs(40);
@@ -47,22 +47,22 @@
     pub run: RunId,
     /// Expected time to the first byte.
     pub expected: Duration,
-    /// An engine that keeps more of the prompt, to copy it from.
+    /// An engine with a longer cached prefix, to copy it from.
     pub copy_from: Option<SocketAddr>,
     /// What the decision was based on, for engines.
     pub estimate: Option<Estimate>,
 }
 
-/// `Account` is what one router knows of the fleet's load.
+/// `Account` is one router's replica of the fleet's load.
 #[derive(Debug)]
 pub struct Account {
     origin: u64,
     next_run: u32,
     targets: BTreeMap<TargetName, Target>,
     shares: Shares,
-    pace: PaceTarget,
-    holding: Holding,
-    held: Held,
+    token_interval: TokenIntervalTarget,
+    queue_limit: QueueLimit,
+    queue: Queue,
     swept_at: Duration,
     refused: BTreeMap<u64, Duration>,
     outbox: Vec<Event>,
@@ -77,9 +77,9 @@
             next_run: 0,
             targets: BTreeMap::new(),
             shares: Shares::default(),
-            pace: PaceTarget::default(),
-            holding: Holding::default(),
-            held: Held::default(),
+            token_interval: TokenIntervalTarget::default(),
+            queue_limit: QueueLimit::default(),
+            queue: Queue::default(),
             swept_at: Duration::ZERO,
             refused: BTreeMap::new(),
             outbox: Vec::new(),
@@ -114,20 +114,20 @@
     }
 
     /// Counts a run of this router that another one has placed.
-    pub fn adopt(&mut self, placement: &Placement, ask: &Ask<'_>, now: Duration) {
-        let event = started(placement, ask);
+    pub fn adopt(&mut self, placement: &Placement, req: &PlacementRequest<'_>, now: Duration) {
+        let event = started(placement, req);
         self.count(&event, now);
         self.note_own(placement, now);
     }
 
-    /// Notes bytes of a run of this router; the first ones end the reading of its prompt.
+    /// Records bytes of a run of this router; the first ones end its prefill.
     pub fn progress(&mut self, placement: &Placement, now: Duration) {
         let Some(target) = self.targets.get_mut(&placement.target) else {
             return;
         };
         target.health.progressed(now, false);
-        if target.load.is_reading(placement.run) {
-            self.tell(
+        if target.load.is_prefilling(placement.run) {
+            self.publish(
                 Event::FirstEvent {
                     run: placement.run,
                     target: placement.target.clone(),
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Notes the end of a run of this router, and what it showed of its target.
+    /// Records the end of a run of this router, and what it shows about its target.
     pub fn end(&mut self, placement: &Placement, result: RunResult, now: Duration) {
         if let Some(target) = self.targets.get_mut(&placement.target) {
             target.own.remove(&placement.run);
@@ -145,7 +145,7 @@
                 target.health.idle();
             }
         }
-        self.tell(
+        self.publish(
             Event::Ended {
                 run: placement.run,
                 target: placement.target.clone(),
@@ -155,7 +155,7 @@
         );
     }
 
-    /// Counts events of another router; with `is_relayed`, they are told to others in turn.
+    /// Counts events of another router; with `is_relayed`, they are also published.
     pub fn apply(&mut self, events: Vec<Event>, is_relayed: bool, now: Duration) {
         for event in events {
             self.count(&event, now);
@@ -165,7 +165,7 @@
         }
     }
 
-    /// What a customer has received of late against the fair level; 1 at the level.
+    /// Recent service of a customer against the fair level; 1 at the level.
     pub fn share_ratio(&mut self, customer: &CustomerName, now: Duration) -> f64 {
         self.shares.ratio(customer, now)
     }
@@ -189,7 +189,7 @@
     }
 
     /// Ends the runs of another router that are not among `active`; all of them when the router
-    /// is gone. With `is_relayed`, the ends are told to others in turn.
+    /// is dead. With `is_relayed`, the ends are also published.
     pub fn retain_runs(
         &mut self,
         origin: u64,
@@ -213,7 +213,7 @@
         self.end_all(over, is_relayed, now);
     }
 
-    /// Targets that are set aside now, and those that have stalled.
+    /// Targets that are ejected or have stalled.
     #[must_use]
     pub fn unusable(&self, now: Duration) -> BTreeSet<TargetName> {
         let unusable = self
@@ -223,10 +223,9 @@
         unusable.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Does what time brings about: forgets runs whose end was never heard, and tells others of
-    /// targets that have stalled.
+    /// Periodic work: drops runs whose end was never received, and publishes stalled targets.
     pub fn sweep(&mut self, now: Duration) {
-        self.holding.recover();
+        self.queue_limit.recover();
         let oldest = now.saturating_sub(MAX_RUN_AGE);
         let mut over = Vec::new();
         for (name, target) in &self.targets {
@@ -234,7 +233,7 @@
             over.extend(runs.map(|run| (name.clone(), run)));
         }
         self.end_all(over, false, now);
-        // After a pause of this router's own process, bytes may wait that it has not read yet.
+        // After a pause of this process, unread bytes may wait in its sockets.
         let was_paused = now.saturating_sub(self.swept_at) > MAX_SWEEP_GAP;
         self.swept_at = now;
         if was_paused {
@@ -261,8 +260,8 @@
         self.apply(events.collect(), is_relayed, now);
     }
 
-    /// Counts an event of this router and keeps it for the others.
-    fn tell(&mut self, event: Event, now: Duration) {
+    /// Counts an event of this router and queues it for the others.
+    fn publish(&mut self, event: Event, now: Duration) {
         self.count(&event, now);
         self.outbox.push(event);
     }
@@ -281,16 +280,16 @@
                 target,
                 customer,
                 generation,
-                unread_tokens,
+                prefill_tokens,
             } => {
                 if let (Some(customer), Some(generation)) = (customer, generation) {
                     self.shares.serve(customer, generation.cost(), now);
                     if run.origin != self.origin {
-                        self.shares.ask(customer, generation.cost(), now);
+                        self.shares.demand(customer, generation.cost(), now);
                     }
                 }
                 if let Some(target) = self.targets.get_mut(target) {
-                    let work = generation.as_ref().map(|g| (g, *unread_tokens));
+                    let work = generation.as_ref().map(|g| (g, *prefill_tokens));
                     target.load.start(*run, work, now);
                 }
             }
@@ -318,7 +317,7 @@
                 cost,
             } => {
                 if let Some(customer) = customer {
-                    self.shares.ask(customer, *cost, now);
+                    self.shares.demand(customer, *cost, now);
                 }
                 self.remember_refused(*fingerprint, now);
             }
@@ -330,15 +329,15 @@
         }
     }
 
-    fn is_return(&self, fingerprint: u64, now: Duration) -> bool {
+    fn is_retry(&self, fingerprint: u64, now: Duration) -> bool {
         let refused_at = self.refused.get(&fingerprint);
-        refused_at.is_some_and(|at| now.saturating_sub(*at) < RETURN_MEMORY)
+        refused_at.is_some_and(|at| now.saturating_sub(*at) < RETRY_MEMORY)
     }
 
     fn remember_refused(&mut self, fingerprint: u64, now: Duration) {
         if self.refused.len() >= MAX_REFUSED {
             self.refused
-                .retain(|_, at| now.saturating_sub(*at) < RETURN_MEMORY / 2);
+                .retain(|_, at| now.saturating_sub(*at) < RETRY_MEMORY / 2);
         }
         if self.refused.len() < MAX_REFUSED {
             self.refused.insert(fingerprint, now);
@@ -346,13 +345,13 @@
     }
 }
 
-/// The event that tells of a placed request.
-fn started(placement: &Placement, ask: &Ask<'_>) -> Event {
+/// The event of a placed request.
+fn started(placement: &Placement, req: &PlacementRequest<'_>) -> Event {
     Event::Started {
         run: placement.run,
         target: placement.target.clone(),
-        customer: ask.customer.cloned(),
-        generation: ask.generation.cloned(),
-        unread_tokens: placement.estimate.map_or(0, |e| e.unread_tokens),
+        customer: req.customer.cloned(),
+        generation: req.generation.cloned(),
+        prefill_tokens: placement.estimate.map_or(0, |e| e.prefill_tokens),
     }
 }
--- a/samphiresill-sched/src/fleet/account/target.rs
+++ b/samphiresill-sched/src/fleet/account/target.rs
@@ -89,9 +89,9 @@
         }
     }
 
-    pub(super) fn is_reading(&self, run: RunId) -> bool {
+    pub(super) fn is_prefilling(&self, run: RunId) -> bool {
         match self {
-            Self::Engine(load) => load.is_reading(run),
+            Self::Engine(load) => load.is_prefilling(run),
             Self::Plain(_) => false,
         }
     }
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -1,11 +1,11 @@
-//! What routers tell each other of the load that they cause.
+//! Changes of the fleet's load, as routers send them to each other.
 
 use samphiresill_core::name::{CustomerName, TargetName};
 use serde::{Deserialize, Serialize};
 
 use super::work::{Generation, RunId};
 
-/// `RunResult` is what a run showed of its target.
+/// `RunResult` is what a run shows about its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunResult {
     /// Nothing, as when the caller left.
@@ -33,10 +33,10 @@
         target: TargetName,
         /// For whom.
         customer: Option<CustomerName>,
-        /// What it asks, when the target is an engine.
+        /// What it needs, when the target is an engine.
         generation: Option<Generation>,
-        /// Prompt tokens that the engine has to read.
-        unread_tokens: u32,
+        /// Prompt tokens that the engine has to prefill.
+        prefill_tokens: u32,
     },
     /// The first event of a stream has come.
     FirstEvent {
@@ -51,19 +51,19 @@
         run: RunId,
         /// Where it ran.
         target: TargetName,
-        /// What it showed of the target.
+        /// What it shows about the target.
         result: RunResult,
     },
     /// A request was refused for lack of capacity.
     Refused {
-        /// Recognises the request when it returns.
+        /// Identifies the request across retries.
         fingerprint: u64,
         /// Whose it was.
         customer: Option<CustomerName>,
-        /// What it asked, in weighted tokens.
+        /// What it needs, in weighted tokens.
         cost: u64,
     },
-    /// Requests have waited for a byte of a target for longer than a working one lets them.
+    /// Requests have waited for a byte of a target for longer than of a working one.
     Stalled {
         /// The target.
         target: TargetName,
--- a/samphiresill-sched/src/fleet/health.rs
+++ b/samphiresill-sched/src/fleet/health.rs
@@ -1,8 +1,8 @@
-//! Belief about a target, from its work.
+//! Passive health of a target, from the outcomes of its requests.
 //!
 //! Answers the load patterns in which a target crashes, falls silent or fails part of its
-//! requests while its health check is good: work moves to other targets at once and returns step
-//! by step.
+//! requests while its health check is good: requests go to other targets at once, and to it again
+//! after a pause.
 
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 /// Pause after a share of failures above [`FAILING_SHARE`].
 const FAILING_PAUSE: Duration = Duration::from_millis(1_500);
-/// Share of failed requests above which a target is set aside; ordinary application errors stay
+/// Share of failed requests above which a target is ejected; ordinary application errors stay
 /// well below it.
 const FAILING_SHARE: f64 = 0.35;
 /// Weight of the newest outcome in the share of failed requests.
@@ -22,17 +22,17 @@
 /// several times the pause between events of a loaded engine.
 const STALL: Duration = Duration::from_millis(900);
 
-/// `Health` is what a router believes of one target.
+/// `Health` is the passive health of one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     failing_share: f64,
     unreachable: u32,
-    /// Until when it is set aside because it could not be reached or has stalled.
-    aside_until: Duration,
-    /// Until when it is set aside because it failed many requests.
+    /// Until when it is ejected because it could not be reached or has stalled.
+    ejected_until: Duration,
+    /// Until when it is ejected because it failed many requests.
     failing_until: Duration,
     waiting_since: Option<Duration>,
-    /// Last sign of life that this router or another one has seen.
+    /// Last progress that this router or another one has seen.
     alive_at: Duration,
 }
 
@@ -43,13 +43,13 @@
         self.is_reachable(now) && !self.is_failing(now)
     }
 
-    /// Whether it can be reached and works, as far as is known.
+    /// Whether it is neither unreachable nor stalled.
     #[must_use]
     pub fn is_reachable(&self, now: Duration) -> bool {
-        now >= self.aside_until && !self.is_stalled(now)
+        now >= self.ejected_until && !self.is_stalled(now)
     }
 
-    /// Whether it has failed many requests of late.
+    /// Whether it has recently failed many requests.
     #[must_use]
     pub fn is_failing(&self, now: Duration) -> bool {
         now < self.failing_until
@@ -95,15 +95,15 @@
         }
     }
 
-    /// Takes in that another router found the target stalled. It is believed only while no one
-    /// else sees the target work: the router itself may be cut off from it, or have been paused.
+    /// Takes in that another router found the target stalled. It is ignored while any router sees
+    /// progress: the reporting one may be partitioned from the target, or have been paused.
     pub fn reported_stalled(&mut self, now: Duration) {
         if now.saturating_sub(self.alive_at) > STALL / 2 {
-            self.aside_until = self.aside_until.max(now + STALL);
+            self.ejected_until = self.ejected_until.max(now + STALL);
         }
     }
 
-    /// Takes in that another router has seen the target work.
+    /// Takes in that another router has seen progress of the target.
     pub fn reported_alive(&mut self, now: Duration) {
         self.alive_at = now;
     }
@@ -112,6 +112,6 @@
     pub fn unreachable(&mut self, now: Duration) {
         let pause = UNREACHABLE_PAUSE * (1 << self.unreachable.min(3));
         self.unreachable += 1;
-        self.aside_until = self.aside_until.max(now + pause.min(MAX_PAUSE));
+        self.ejected_until = self.ejected_until.max(now + pause.min(MAX_PAUSE));
     }
 }
--- a/samphiresill-sched/src/fleet/overload.rs
+++ b/samphiresill-sched/src/fleet/overload.rs
@@ -1,45 +1,45 @@
 //! How many streams one router relays at a time, and when it leaves the balancer's rotation.
 //!
 //! Answers the load pattern in which the balancer gives one router far more callers than its
-//! processor can serve, while others idle: the router notices that its own timers are late, and
-//! refuses at once what it cannot relay. As long as it refuses much, it tells the balancer that it
-//! is not ready, because callers return to the router that the balancer gives them.
+//! processor can serve, while others are idle: the router detects that its own timers are late and
+//! refuses the streams beyond a learnt limit. While it refuses many, it reports itself as not ready,
+//! because the balancer sends retries to the same router.
 //!
 //! Invariant: the limit is never below [`MIN_LIMIT`], so that a router whose timers were late for
 //! another reason recovers.
 
 use std::time::Duration;
 
-/// Lateness of a timer above which the processor counts as overloaded. An idle one is a
-/// millisecond or two late; a token's event may take some tens of milliseconds through a router.
+/// Lateness of a timer above which the processor counts as overloaded. Timers of
+/// an idle one are one or two milliseconds late.
 const MAX_LAG: Duration = Duration::from_millis(15);
 /// Streams that are relayed in any case.
 pub const MIN_LIMIT: f64 = 6.0;
-/// Part of the streams that is kept after a late timer.
+/// Multiplicative decrease of the limit after a late timer.
 const DECREASE: f64 = 0.9;
 /// Growth of the limit after a timer in time, as a part of itself and in streams.
 const INCREASE: (f64, f64) = (0.02, 0.5);
 /// Part of the limit that must be in use before it grows.
 const IN_USE: f64 = 0.7;
-/// Pause that is asked for: the balancer takes about two seconds to move callers elsewhere.
+/// `Retry-After` before jitter: the balancer takes about two seconds to react.
 const RETRY: Duration = Duration::from_millis(900);
 /// Time over which refusals are counted.
 const WINDOW: Duration = Duration::from_millis(500);
 /// Refusals in a window from which on a router leaves the rotation.
 const MANY_REFUSED: u32 = 10;
 /// Time out of the rotation at first, and at most; it doubles while refusals recur.
-const AWAY: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(40));
-/// Time in the rotation without refusals after which the next absence is short again.
-const FORGIVEN: Duration = Duration::from_secs(20);
+const OUT_OF_ROTATION: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(40));
+/// Time in the rotation without refusals that resets the backoff.
+const BACKOFF_RESET: Duration = Duration::from_secs(20);
 
-/// `Overload` is what one router has learnt of its processor.
+/// `Overload` is the learnt limit of one router.
 #[derive(Clone, Copy, Debug)]
 pub struct Overload {
     limit: f64,
     window_began: Duration,
     refused: u32,
-    away_until: Duration,
-    away_for: Duration,
+    out_until: Duration,
+    out_for: Duration,
 }
 
 impl Default for Overload {
@@ -48,8 +48,8 @@
             limit: f64::INFINITY,
             window_began: Duration::ZERO,
             refused: 0,
-            away_until: Duration::ZERO,
-            away_for: AWAY.0,
+            out_until: Duration::ZERO,
+            out_for: OUT_OF_ROTATION.0,
         }
     }
 }
@@ -81,32 +81,32 @@
             self.refused = 0;
         }
         self.refused += 1;
-        if self.refused >= MANY_REFUSED && now >= self.away_until {
-            self.leave(now);
+        if self.refused >= MANY_REFUSED && now >= self.out_until {
+            self.leave_rotation(now);
         }
         false
     }
 
     /// Whether the balancer should send callers elsewhere.
     #[must_use]
-    pub fn is_away(&self, now: Duration) -> bool {
-        now < self.away_until
+    pub fn is_out_of_rotation(&self, now: Duration) -> bool {
+        now < self.out_until
     }
 
-    /// When a refused caller should return; `draw` is uniform over 0 to 1.
+    /// When a refused caller should retry; `jitter` is uniform over 0 to 1.
     #[must_use]
-    pub fn retry_after(draw: f64) -> Duration {
-        RETRY.mul_f64(0.5 + draw)
+    pub fn retry_after(jitter: f64) -> Duration {
+        RETRY.mul_f64(0.5 + jitter)
     }
 
-    fn leave(&mut self, now: Duration) {
-        let is_first = self.away_until.is_zero();
-        let is_recurring = !is_first && now.saturating_sub(self.away_until) < FORGIVEN;
-        self.away_for = if is_recurring {
-            (self.away_for * 2).min(AWAY.1)
+    fn leave_rotation(&mut self, now: Duration) {
+        let is_first = self.out_until.is_zero();
+        let is_recurring = !is_first && now.saturating_sub(self.out_until) < BACKOFF_RESET;
+        self.out_for = if is_recurring {
+            (self.out_for * 2).min(OUT_OF_ROTATION.1)
         } else {
-            AWAY.0
+            OUT_OF_ROTATION.0
         };
-        self.away_until = now + self.away_for;
+        self.out_until = now + self.out_for;
     }
 }
--- a/samphiresill-sched/src/fleet/plain.rs
+++ b/samphiresill-sched/src/fleet/plain.rs
@@ -1,7 +1,7 @@
 //! The load of one target of a plain service.
 //!
-//! Answers the load pattern in which short requests with tight aims meet targets of few slots and
-//! different speed: each goes where it is expected to end first.
+//! Answers the load pattern in which short requests with tight latency objectives share targets of
+//! few slots and different speed: each goes where it is expected to finish first.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/samphiresill-sched/src/fleet/shares.rs
+++ b/samphiresill-sched/src/fleet/shares.rs
@@ -1,22 +1,22 @@
 //! Max-min fair shares of the fleet's service among customers.
 //!
 //! Answers the load pattern in which one customer or a few send many times their usual: under
-//! pressure, a customer that has received more than the level at which all demand could be met
-//! evenly is refused before one that has received less.
+//! overload, a customer that has received more than the max-min level is refused before one that
+//! has received less.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use samphiresill_core::name::CustomerName;
 
-/// Time over which service is remembered: half of the window in which callers judge fairness.
+/// Time constant of the decay: half of the operators' window for shares.
 const MEMORY: Duration = Duration::from_secs(2);
-/// Weighted tokens below which a customer is forgotten.
-const FORGOTTEN: f64 = 1.0;
+/// Weighted tokens below which a customer is dropped.
+const NEGLIGIBLE: f64 = 1.0;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
-    asked: f64,
+    demanded: f64,
     served: f64,
     at: Duration,
 }
@@ -25,25 +25,25 @@
     fn decay(&mut self, now: Duration) {
         let age = now.saturating_sub(self.at).as_secs_f64();
         let factor = (-age / MEMORY.as_secs_f64()).exp();
-        self.asked *= factor;
+        self.demanded *= factor;
         self.served *= factor;
         self.at = now;
     }
 }
 
-/// `Shares` remember what customers asked for and received of late.
+/// `Shares` are the recent demand and service of customers.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     usages: BTreeMap<CustomerName, Usage>,
 }
 
 impl Shares {
-    /// Notes what a customer asks for, in weighted tokens.
-    pub fn ask(&mut self, customer: &CustomerName, cost: u64, now: Duration) {
-        self.usage(customer, now).asked += cost as f64;
+    /// Adds to what a customer demands, in weighted tokens.
+    pub fn demand(&mut self, customer: &CustomerName, cost: u64, now: Duration) {
+        self.usage(customer, now).demanded += cost as f64;
     }
 
-    /// Notes what a customer receives, in weighted tokens.
+    /// Adds to what a customer receives, in weighted tokens.
     pub fn serve(&mut self, customer: &CustomerName, cost: u64, now: Duration) {
         self.usage(customer, now).served += cost as f64;
     }
@@ -54,7 +54,7 @@
             usage.decay(now);
         }
         self.usages
-            .retain(|_, u| u.asked > FORGOTTEN || u.served > FORGOTTEN);
+            .retain(|_, u| u.demanded > NEGLIGIBLE || u.served > NEGLIGIBLE);
         let level = self.level();
         let served = self.usages.get(customer).map_or(0.0, |u| u.served);
         if level > 0.0 { served / level } else { 0.0 }
@@ -62,16 +62,16 @@
 
     /// The level at which the service given would meet all demand up to the level.
     fn level(&self) -> f64 {
-        let mut asked: Vec<f64> = self
+        let mut demanded: Vec<f64> = self
             .usages
             .values()
-            .map(|u| u.asked.max(u.served))
+            .map(|u| u.demanded.max(u.served))
             .collect();
-        asked.sort_by(f64::total_cmp);
+        demanded.sort_by(f64::total_cmp);
         let mut left: f64 = self.usages.values().map(|u| u.served).sum();
         let mut level = 0.0;
-        for (index, demand) in asked.iter().enumerate() {
-            let even = left / (asked.len() - index) as f64;
+        for (index, demand) in demanded.iter().enumerate() {
+            let even = left / (demanded.len() - index) as f64;
             level = even;
             if even <= *demand {
                 break;
--- a/samphiresill-sched/src/fleet/tests/accounts.rs
+++ b/samphiresill-sched/src/fleet/tests/accounts.rs
@@ -18,7 +18,7 @@
     let (service, domain) = (service(), DomainName::from("d0"));
     let run = account.next_run();
     account
-        .place(&request.ask(&service, &domain), run, 0.5, now)
+        .place(&request.placement_request(&service, &domain), run, 0.5, now)
         .expect("an idle fleet takes a request")
 }
 
@@ -34,7 +34,7 @@
 }
 
 #[test]
-fn routers_that_hear_each_other_spread_their_work() {
+fn routers_that_exchange_events_spread_their_requests() {
     let (mut one, mut two) = (account(1, 2), account(2, 2));
     let first = place(&mut one, 1, SECOND);
     two.apply(one.take_events(), false, SECOND);
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn a_router_that_is_gone_leaves_no_runs() {
+fn a_dead_router_leaves_no_runs() {
     let (mut one, mut two) = (account(1, 1), account(2, 1));
     place(&mut one, 1, SECOND);
     two.apply(one.take_events(), false, SECOND);
@@ -85,11 +85,11 @@
     let request = Request::new("a", (1, 5_000), (2, 2_000), 100);
     let (service, domain) = (service(), DomainName::from("d0"));
     let run = client.next_run();
-    let ask = request.ask(&service, &domain);
+    let req = request.placement_request(&service, &domain);
     let placement = scheduler
-        .place(&ask, run, 0.5, SECOND)
+        .place(&req, run, 0.5, SECOND)
         .expect("a placement");
-    client.adopt(&placement, &ask, SECOND);
+    client.adopt(&placement, &req, SECOND);
     assert_eq!(client.own_runs(), vec![run.number]);
     assert!(!client.has_events(), "the scheduler has told of the start");
     client.end(&placement, RunResult::Unknown, SECOND);
@@ -109,7 +109,7 @@
 }
 
 #[test]
-fn a_target_that_started_again_has_no_runs_and_keeps_no_prompts() {
+fn a_target_that_started_again_has_no_runs_and_caches_no_prompts() {
     let mut account = account(1, 1);
     place(&mut account, 1, SECOND);
     let mut again = entry(0);
@@ -118,19 +118,19 @@
     let estimate = place(&mut account, 1, SECOND)
         .estimate
         .expect("an estimate");
-    assert_eq!((estimate.runs, estimate.unread_tokens), (0, 7_000));
+    assert_eq!((estimate.runs, estimate.prefill_tokens), (0, 7_000));
 }
 
 #[test]
-fn runs_whose_end_is_never_heard_are_forgotten() {
+fn runs_whose_end_is_never_received_are_dropped() {
     let mut account = account(1, 1);
     place(&mut account, 1, SECOND);
     account.sweep(SECOND * 60);
     assert_eq!(runs(&mut account, SECOND * 60), 0);
 }
 
-/// A router that woke from a pause, or is cut off, finds all targets stalled; what others see of
-/// them counts.
+/// A router that was paused or is partitioned finds all targets stalled; progress that others see
+/// counts.
 #[test]
 fn a_report_of_a_stall_is_not_believed_against_what_others_see() {
     let stalled = |account: &mut Account, now: Duration| {
@@ -165,9 +165,9 @@
 }
 
 /// Found by a recorded day: a change of the configuration sent requests to engines that failed
-/// them; all engines but a new one were set aside, which got all the work.
+/// them; all engines but a new one were ejected, and that one got all requests.
 #[test]
-fn targets_that_all_fail_are_not_set_aside() {
+fn targets_that_all_fail_are_not_ejected() {
     let mut account = account(1, 6);
     let fail = |account: &mut Account, target: usize| {
         let result = RunResult::Failed;
@@ -192,31 +192,36 @@
     };
     assert_eq!(used(&mut account), 6);
     fail(&mut account, 0);
-    assert_eq!(used(&mut account), 5, "one that fails alone is set aside");
+    assert_eq!(used(&mut account), 5, "one that fails alone is ejected");
     for target in 1..5 {
         fail(&mut account, target);
     }
     assert_eq!(used(&mut account), 6, "where most fail, none is");
 }
 
-/// Found by a day on which schedulers took a flood to be within its share: they had not heard of
-/// the demand of others, which had waited and was refused.
+/// Found by a day on which schedulers took an overload to be within its share: they did not know
+/// the demand of others, whose requests had been queued and refused.
 #[test]
-fn a_refusal_after_a_wait_tells_others_of_the_demand() {
+fn a_refusal_after_queueing_publishes_the_demand() {
     let mut account = account(1, 1);
     let request = Request::new("a", (1, 30_000), (2, 30_000), 100);
     let (service, domain) = (service(), DomainName::from("d0"));
-    let mut ask = request.ask(&service, &domain);
+    let mut req = request.placement_request(&service, &domain);
     for number in 0..6 {
         let other = Request::new("b", (number + 10, 30_000), (number + 90, 30_000), 100);
         let run = account.next_run();
-        drop(account.place(&other.ask(&service, &domain), run, 0.5, SECOND));
+        drop(account.place(
+            &other.placement_request(&service, &domain),
+            run,
+            0.5,
+            SECOND,
+        ));
     }
     drop(account.take_events());
-    ask.waited = SECOND / 2;
+    req.waited = SECOND / 2;
     let run = account.next_run();
     account
-        .place(&ask, run, 0.5, SECOND)
+        .place(&req, run, 0.5, SECOND)
         .expect_err("a full engine");
     let events = account.take_events();
     let is_told = |e: &Event| matches!(e, Event::Refused { cost, .. } if *cost > 60_000);
--- a/samphiresill-sched/src/fleet/tests/decisions.rs
+++ b/samphiresill-sched/src/fleet/tests/decisions.rs
@@ -6,9 +6,9 @@
 
 use crate::fleet::admission::{self, Candidate, Reason};
 use crate::fleet::health::Health;
-use crate::fleet::holding::Holding;
 use crate::fleet::overload::Overload;
 use crate::fleet::prefix::PrefixCache;
+use crate::fleet::queueing::QueueLimit;
 use crate::fleet::shares::Shares;
 use crate::fleet::work::PromptPart;
 
@@ -16,31 +16,31 @@
 
 struct Admission {
     wait_ms: u32,
-    pace_ms: f64,
+    token_interval_ms: f64,
     share_ratio: f64,
     refused: Option<Reason>,
 }
 
 #[rstest]
-#[case::idle(Admission { wait_ms: 0, pace_ms: 2.0, share_ratio: 0.0, refused: None })]
-#[case::idle_above_share(Admission { wait_ms: 0, pace_ms: 2.0, share_ratio: 9.0, refused: None })]
-#[case::short_wait(Admission { wait_ms: 500, pace_ms: 2.0, share_ratio: 0.5, refused: None })]
-#[case::long_wait(Admission { wait_ms: 700, pace_ms: 2.0, share_ratio: 0.5, refused: Some(Reason::Wait) })]
-#[case::slow_pace(Admission { wait_ms: 0, pace_ms: 13.0, share_ratio: 0.5, refused: Some(Reason::Wait) })]
-#[case::above_share(Admission { wait_ms: 500, pace_ms: 2.0, share_ratio: 1.5, refused: Some(Reason::AboveShare) })]
-#[case::above_share_pace(Admission { wait_ms: 0, pace_ms: 8.5, share_ratio: 1.5, refused: Some(Reason::AboveShare) })]
+#[case::idle(Admission { wait_ms: 0, token_interval_ms: 2.0, share_ratio: 0.0, refused: None })]
+#[case::idle_above_share(Admission { wait_ms: 0, token_interval_ms: 2.0, share_ratio: 9.0, refused: None })]
+#[case::short_wait(Admission { wait_ms: 500, token_interval_ms: 2.0, share_ratio: 0.5, refused: None })]
+#[case::long_wait(Admission { wait_ms: 700, token_interval_ms: 2.0, share_ratio: 0.5, refused: Some(Reason::Wait) })]
+#[case::long_interval(Admission { wait_ms: 0, token_interval_ms: 13.0, share_ratio: 0.5, refused: Some(Reason::Wait) })]
+#[case::above_share(Admission { wait_ms: 500, token_interval_ms: 2.0, share_ratio: 1.5, refused: Some(Reason::AboveShare) })]
+#[case::above_share_interval(Admission { wait_ms: 0, token_interval_ms: 8.5, share_ratio: 1.5, refused: Some(Reason::AboveShare) })]
 fn admission_cases(#[case] case: Admission) {
     let decision = admission::decide(&Candidate {
         wait: MS * case.wait_ms,
-        pace_ms: case.pace_ms,
-        pace_target_ms: 10.0,
-        aim: Duration::from_secs(1),
+        token_interval_ms: case.token_interval_ms,
+        interval_target_ms: 10.0,
+        latency_objective: Duration::from_secs(1),
         waited: Duration::ZERO,
-        queue: Duration::ZERO,
-        holding: Holding::default(),
+        queue_delay: Duration::ZERO,
+        queue_limit: QueueLimit::default(),
         time_left: Duration::from_secs(12),
         share_ratio: case.share_ratio,
-        draw: 0.5,
+        jitter: 0.5,
     });
     assert_eq!(decision.err().map(|r| r.reason), case.refused);
 }
@@ -48,22 +48,22 @@
 struct Retry {
     delay_ms: u32,
     time_left_ms: u32,
-    draw: f64,
+    jitter: f64,
     expected_ms: u128,
 }
 
 #[rstest]
-#[case::spread_low(Retry { delay_ms: 1_000, time_left_ms: 12_000, draw: 0.0, expected_ms: 500 })]
-#[case::spread_high(Retry { delay_ms: 1_000, time_left_ms: 12_000, draw: 1.0, expected_ms: 1_500 })]
-#[case::not_zero(Retry { delay_ms: 0, time_left_ms: 12_000, draw: 0.5, expected_ms: 150 })]
-#[case::within_what_callers_honour(Retry { delay_ms: 9_000, time_left_ms: 3_000, draw: 0.5, expected_ms: 900 })]
+#[case::spread_low(Retry { delay_ms: 1_000, time_left_ms: 12_000, jitter: 0.0, expected_ms: 500 })]
+#[case::spread_high(Retry { delay_ms: 1_000, time_left_ms: 12_000, jitter: 1.0, expected_ms: 1_500 })]
+#[case::not_zero(Retry { delay_ms: 0, time_left_ms: 12_000, jitter: 0.5, expected_ms: 150 })]
+#[case::within_what_callers_honour(Retry { delay_ms: 9_000, time_left_ms: 3_000, jitter: 0.5, expected_ms: 900 })]
 fn retry_after_cases(#[case] case: Retry) {
-    let delay = admission::retry_after(MS * case.delay_ms, MS * case.time_left_ms, case.draw);
+    let delay = admission::retry_after(MS * case.delay_ms, MS * case.time_left_ms, case.jitter);
     assert_eq!(delay.as_millis(), case.expected_ms);
 }
 
 #[test]
-fn a_target_that_cannot_be_reached_is_set_aside_longer_each_time() {
+fn an_unreachable_target_is_ejected_longer_each_time() {
     let mut health = Health::default();
     let mut now = Duration::ZERO;
     let mut pauses = Vec::new();
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn ordinary_errors_do_not_set_a_target_aside_but_many_do() {
+fn ordinary_errors_do_not_eject_a_target_but_many_do() {
     let mut health = Health::default();
     for n in 0..200 {
         if n % 7 == 0 {
@@ -99,7 +99,7 @@
     assert!(!health.is_usable(210 * MS));
     assert!(
         health.is_usable(2_000 * MS),
-        "it gets work again after a pause"
+        "it gets requests again after a pause"
     );
 }
 
@@ -124,14 +124,14 @@
 
 #[rstest]
 #[case::one_alone(Level { usage: vec![(900, 900)], is_above: vec![false] })]
-#[case::flood(Level { usage: vec![(100, 100), (100, 100), (1_000, 400)], is_above: vec![false, false, false] })]
-#[case::flood_gets_more(Level { usage: vec![(300, 100), (300, 100), (1_000, 400)], is_above: vec![false, false, true] })]
+#[case::overload(Level { usage: vec![(100, 100), (100, 100), (1_000, 400)], is_above: vec![false, false, false] })]
+#[case::overload_gets_more(Level { usage: vec![(300, 100), (300, 100), (1_000, 400)], is_above: vec![false, false, true] })]
 fn max_min_level(#[case] case: Level) {
     let mut shares = Shares::default();
     let now = Duration::from_secs(1);
     let name = |n: usize| format!("c{n}").as_str().into();
     for (n, (asked, served)) in case.usage.iter().enumerate() {
-        shares.ask(&name(n), *asked, now);
+        shares.demand(&name(n), *asked, now);
         shares.serve(&name(n), *served, now);
     }
     let ratios = (0..case.usage.len()).map(|n| shares.ratio(&name(n), now));
@@ -139,9 +139,9 @@
     assert_eq!(is_above, case.is_above);
 }
 
-/// A part that is still being read cannot be copied; it can once it has been read.
+/// A part can be copied once its prefill has ended.
 #[test]
-fn only_parts_that_were_read_can_be_copied() {
+fn only_prefilled_parts_can_be_copied() {
     let part = |id, tokens| PromptPart { id, tokens };
     let mut cache = PrefixCache::default();
     cache.touch(&[part(1, 100)], 1_000, 5 * MS, MS);
@@ -153,7 +153,7 @@
 }
 
 #[test]
-fn the_prefix_cache_counts_leading_parts_and_drops_the_least_recently_used() {
+fn the_prefix_cache_counts_leading_parts_and_evicts_the_least_recently_used() {
     let part = |id, tokens| PromptPart { id, tokens };
     let mut cache = PrefixCache::default();
     cache.touch(&[part(1, 100), part(2, 50)], 1_000, 5 * MS, MS);
@@ -170,7 +170,7 @@
 /// One router gets more streams than its processor relays: the limit falls with late timers and
 /// rises again with timers in time, and the router leaves the rotation while it refuses much.
 #[test]
-fn a_router_with_late_timers_relays_less_and_leaves_the_rotation() {
+fn late_timers_lower_the_stream_limit_and_end_the_rotation() {
     let mut overload = Overload::default();
     let now = Duration::from_secs(100);
     assert!(overload.admits(10_000, now), "no limit before a late timer");
@@ -186,8 +186,8 @@
     for _ in 0..20 {
         assert!(!overload.admits(50, now));
     }
-    assert!(overload.is_away(now + Duration::from_secs(4)));
-    assert!(!overload.is_away(now + Duration::from_secs(6)));
+    assert!(overload.is_out_of_rotation(now + Duration::from_secs(4)));
+    assert!(!overload.is_out_of_rotation(now + Duration::from_secs(6)));
     let low = overload.limit();
     for _ in 0..50 {
         overload.observe(MS, overload.limit() as usize);
@@ -195,20 +195,20 @@
     assert!(overload.limit() > low * 2.0, "it recovers");
 }
 
-/// A router that is overloaded again as soon as it is back stays away for longer each time.
+/// A router that is overloaded again as soon as it is back stays out for longer each time.
 #[test]
-fn absences_grow_while_overload_recurs() {
+fn time_out_of_rotation_grows_while_overload_recurs() {
     let mut overload = Overload::default();
     overload.observe(40 * MS, 0);
     let mut now = Duration::from_secs(100);
     let mut absences = Vec::new();
     for _ in 0..5 {
-        while !overload.is_away(now) {
+        while !overload.is_out_of_rotation(now) {
             assert!(!overload.admits(50, now));
             now += MS;
         }
         let began = now;
-        while overload.is_away(now) {
+        while overload.is_out_of_rotation(now) {
             now += 100 * MS;
         }
         absences.push(now.saturating_sub(began).as_secs());
--- a/samphiresill-sched/src/fleet/tests/patterns.rs
+++ b/samphiresill-sched/src/fleet/tests/patterns.rs
@@ -8,7 +8,7 @@
 
 use super::world::{Request, World};
 use crate::fleet::admission::Reason;
-use crate::fleet::holding::Holding;
+use crate::fleet::queueing::QueueLimit;
 
 const SPEEDS: [f64; 6] = [0.6, 1.0, 1.6, 0.6, 1.0, 1.6];
 
@@ -26,17 +26,17 @@
     per_s: f64,
     /// Part of the taken requests that must end in time.
     min_whole: f64,
-    /// Part of the taken requests that must begin within their aim.
+    /// Part of the taken requests that must begin within their latency objective.
     min_on_time: f64,
 }
 
-/// More long prompts arrive than can be read: what is taken begins and ends in time, because the
-/// rest is refused at once.
+/// More long prompts arrive than can be prefilled: what is admitted starts and finishes in time,
+/// because the rest is refused at once.
 #[rstest]
 #[case::calm(Overload { per_s: 8.0, min_whole: 0.97, min_on_time: 0.97 })]
 #[case::full(Overload { per_s: 25.0, min_whole: 0.9, min_on_time: 0.9 })]
 #[case::three_times_over(Overload { per_s: 75.0, min_whole: 0.9, min_on_time: 0.9 })]
-fn what_is_taken_ends_in_time(#[case] case: Overload) {
+fn admitted_requests_finish_in_time(#[case] case: Overload) {
     let mut world = World::new(&SPEEDS, 7);
     world.play(case.per_s, Duration::from_secs(25), |rng| {
         long_prompt(rng, "a", 60)
@@ -53,16 +53,16 @@
     );
 }
 
-/// Refusals do not leave the engines idle: as much is read as engines can read beside streams.
+/// Refusals do not leave engines idle: prefill uses what is left beside the streams.
 #[test]
-fn overload_keeps_the_engines_busy() {
+fn overload_leaves_no_engine_idle() {
     let mut world = World::new(&SPEEDS, 11);
     world.play(75.0, Duration::from_secs(20), |rng| {
         long_prompt(rng, "a", 60)
     });
     let capacity: f64 = SPEEDS.iter().sum::<f64>() * 48.0 * 20_000.0;
-    let part = world.read_tokens / capacity;
-    assert!(part > 0.5, "{part:.2} of the reading capacity was used");
+    let part = world.prefilled_tokens / capacity;
+    assert!(part > 0.5, "{part:.2} of the prefill capacity was used");
 }
 
 /// Nothing is refused while engines have room and nothing waits.
@@ -80,31 +80,30 @@
     assert_eq!(refused, 0);
 }
 
-/// Many requests begin with the same parts: these are read once and copied, not read again.
+/// Many requests begin with the same parts: these are prefilled once and copied.
 #[test]
-fn shared_parts_are_not_read_again() {
+fn shared_prefixes_are_not_prefilled_again() {
     let mut world = World::new(&SPEEDS, 5);
     world.play(15.0, Duration::from_secs(20), |rng| {
         long_prompt(rng, "a", 20)
     });
-    let part = world.reread_tokens / world.read_tokens;
+    let part = world.repeated_tokens / world.prefilled_tokens;
     assert!(
         part < 0.03,
-        "{part:.3} of the tokens read were shared parts read before"
+        "{part:.3} of the prefilled tokens were shared parts prefilled before"
     );
 }
 
-/// One customer sends eight times as much as each of three others: these are served as if it were
-/// not there.
+/// One customer sends eight times as much as each of three others: these are served as usual.
 #[test]
-fn a_flood_by_one_customer_is_its_own_loss() {
+fn overload_by_one_customer_does_not_affect_others() {
     let mut world = World::new(&SPEEDS, 9);
     world.play(60.0, Duration::from_secs(25), |rng| {
         let customer = match rng.random_range(0..11) {
             0 => "a",
             1 => "b",
             2 => "c",
-            _ => "flood",
+            _ => "heavy",
         };
         long_prompt(rng, customer, 60)
     });
@@ -120,7 +119,7 @@
             "{part:.2} of the requests of {customer} were served"
         );
     }
-    assert!(served("flood") < 0.6, "the flood is cut");
+    assert!(served("heavy") < 0.6, "the overload is refused");
 }
 
 /// Large prompts are refused no more often than small ones: the wait counts, not the size.
@@ -156,9 +155,9 @@
     );
 }
 
-/// A customer whose refused requests return is not taken to ask for more than it does.
+/// Retries of refused requests do not add to the demand of their customer.
 #[test]
-fn a_return_is_not_counted_as_more_demand() {
+fn a_retry_is_not_counted_as_more_demand() {
     let mut shares = [0.0, 0.0];
     for (returns, share) in shares.iter_mut().enumerate() {
         let mut world = World::new(&SPEEDS, 5);
@@ -175,53 +174,53 @@
     assert!((shares[0] - shares[1]).abs() < 0.05, "{shares:?}");
 }
 
-/// Requests in clumps: those for which there is room within a part of their aim wait and begin in
-/// time, others are refused at once.
+/// Requests in a burst: those for which capacity is expected within a part of their latency
+/// objective are queued, others are refused at once.
 #[test]
-fn a_clump_waits_for_room_that_comes_in_time() {
+fn a_burst_is_queued_as_far_as_capacity_is_expected_in_time() {
     let mut world = World::new(&SPEEDS, 19);
     let mut rng: StdRng = rand::SeedableRng::seed_from_u64(19);
     let (mut held, mut refused) = (0, 0);
     for _ in 0..60 {
         match world.offer(long_prompt(&mut rng, "a", 60)) {
             Ok(_) => {}
-            Err(refusal) if refusal.look_again.is_some() => held += 1,
+            Err(refusal) if refusal.recheck_in.is_some() => held += 1,
             Err(_) => refused += 1,
         }
     }
-    assert!(held > 0, "some wait");
+    assert!(held > 0, "some are queued");
     assert!(
         refused > held,
-        "{refused} were refused at once, {held} wait"
+        "{refused} were refused at once, {held} queued"
     );
     for refusal in world.outcomes.iter().filter_map(|o| o.refused) {
-        let pause = refusal.look_again.unwrap_or_default();
+        let pause = refusal.recheck_in.unwrap_or_default();
         assert!(pause < Duration::from_millis(100), "{pause:?}");
     }
 }
 
-/// Waits that end in refusals become shorter, until work is refused at once.
+/// Queueing that ends in refusals is shortened, until requests are refused at once.
 #[test]
-fn waits_that_do_not_help_are_given_up() {
-    let mut holding = Holding::default();
-    let look = |h: &Holding| {
+fn queueing_that_does_not_help_is_given_up() {
+    let mut queue_limit = QueueLimit::default();
+    let look = |h: &QueueLimit| {
         let room_in = Duration::from_millis(50);
-        h.look_again(Duration::from_secs(1), Duration::ZERO, room_in, 0.5)
+        h.recheck_in(Duration::from_secs(1), Duration::ZERO, room_in, 0.5)
     };
-    assert!(look(&holding).is_some());
+    assert!(look(&queue_limit).is_some());
     for _ in 0..20 {
-        holding.observe(false);
+        queue_limit.observe(false);
     }
-    assert!(look(&holding).is_none());
+    assert!(look(&queue_limit).is_none());
     for _ in 0..30 {
-        holding.recover();
+        queue_limit.recover();
     }
-    assert!(look(&holding).is_some(), "they are tried again later");
+    assert!(look(&queue_limit).is_some(), "it is tried again later");
 }
 
-/// Refused callers return spread over time, within what they honour.
+/// Retries are spread over time, within what callers honour.
 #[test]
-fn returns_are_spread() {
+fn retries_are_spread() {
     let mut world = World::new(&SPEEDS, 17);
     world.play(90.0, Duration::from_secs(10), |rng| {
         long_prompt(rng, "a", 60)
@@ -247,12 +246,12 @@
     tokens_per_ms: f64,
 }
 
-/// The rate at which an engine reads is learnt from its first tokens.
+/// The prefill rate of an engine is learnt from its first tokens.
 #[rstest]
 #[case::slow(Speed { speed: 0.6, tokens_per_ms: 28.8 })]
 #[case::middling(Speed { speed: 1.0, tokens_per_ms: 48.0 })]
 #[case::fast(Speed { speed: 1.6, tokens_per_ms: 76.8 })]
-fn the_rate_of_an_engine_is_learnt(#[case] case: Speed) {
+fn the_prefill_rate_of_an_engine_is_learnt(#[case] case: Speed) {
     let mut world = World::new(&[case.speed], 21);
     world.play(2.5, Duration::from_secs(6), |rng| long_prompt(rng, "a", 5));
     let probe = Request::new("a", (0, 4_900), (99, 3_000), 10);
--- a/samphiresill-sched/src/fleet/tests/world.rs
+++ b/samphiresill-sched/src/fleet/tests/world.rs
@@ -1,5 +1,5 @@
-//! Engines in a test: prompts are read in order of arrival, in chunks between the steps that make
-//! one token of each stream.
+//! Simulated engines: prompts are prefilled in order of arrival, in chunks between decode steps
+//! that generate one token of each stream.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -14,15 +14,15 @@
 use crate::fleet::account::{Account, Placement};
 use crate::fleet::admission::Refusal;
 use crate::fleet::event::RunResult;
-use crate::fleet::work::{Ask, Generation, PromptPart, RunId};
+use crate::fleet::work::{Generation, PlacementRequest, PromptPart, RunId};
 
-/// Prompt tokens that an engine of speed 1 reads in a millisecond.
-const READ_PER_MS: f64 = 48.0;
+/// Prefill rate of an engine of speed 1, in tokens a millisecond.
+const PREFILL_PER_MS: f64 = 48.0;
 /// Prompt tokens of one step.
 const CHUNK: f64 = 2_048.0;
 /// Time of a step of an engine of speed 1, and for each stream in it, in milliseconds.
 const STEP_MS: (f64, f64) = (2.6, 0.12);
-/// Tokens that an engine keeps in memory.
+/// KV cache of an engine, in tokens.
 const MEMORY: u32 = 400_000;
 
 /// The service of all engines.
@@ -85,7 +85,7 @@
 pub struct Request {
     pub customer: CustomerName,
     pub generation: Generation,
-    pub aim: Duration,
+    pub latency_objective: Duration,
     pub timeout: Duration,
 }
 
@@ -100,17 +100,21 @@
                 prompt_tokens: shared.1 + own.1,
                 output_tokens: output,
             },
-            aim: Duration::from_secs(1),
+            latency_objective: Duration::from_secs(1),
             timeout: Duration::from_secs(12),
         }
     }
 
-    pub fn ask<'a>(&'a self, service: &'a WorkName, domain: &'a DomainName) -> Ask<'a> {
-        Ask {
+    pub fn placement_request<'a>(
+        &'a self,
+        service: &'a WorkName,
+        domain: &'a DomainName,
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
             customer: Some(&self.customer),
             service,
             generation: Some(&self.generation),
-            aim: self.aim,
+            latency_objective: self.latency_objective,
             time_left: self.timeout,
             domain,
             tried: &[],
@@ -153,8 +157,8 @@
     pub account: Account,
     pub now: Duration,
     pub outcomes: Vec<Outcome>,
-    pub read_tokens: f64,
-    pub reread_tokens: f64,
+    pub prefilled_tokens: f64,
+    pub repeated_tokens: f64,
     seen: BTreeSet<u64>,
     engines: BTreeMap<TargetName, Engine>,
     requests: Vec<Request>,
@@ -175,8 +179,8 @@
             account: account(1, speeds.len()),
             now: Duration::from_secs(1),
             outcomes: Vec::new(),
-            read_tokens: 0.0,
-            reread_tokens: 0.0,
+            prefilled_tokens: 0.0,
+            repeated_tokens: 0.0,
             seen: BTreeSet::new(),
             engines: speeds.iter().enumerate().map(engine).collect(),
             requests: Vec::new(),
@@ -211,10 +215,13 @@
     pub fn offer(&mut self, request: Request) -> Result<Placement, Refusal> {
         let (service, domain) = (service(), DomainName::from("d0"));
         let run: RunId = self.account.next_run();
-        let draw = self.rng.random();
-        let placed = self
-            .account
-            .place(&request.ask(&service, &domain), run, draw, self.now);
+        let jitter = self.rng.random();
+        let placed = self.account.place(
+            &request.placement_request(&service, &domain),
+            run,
+            jitter,
+            self.now,
+        );
         let mut outcome = Outcome {
             customer: request.customer.to_string(),
             ..Outcome::default()
@@ -247,9 +254,9 @@
         let unread = request.generation.prompt_tokens - kept;
         let shared = &parts[0];
         if kept == 0 && !self.seen.insert(shared.id) {
-            self.reread_tokens += f64::from(shared.tokens);
+            self.repeated_tokens += f64::from(shared.tokens);
         }
-        self.read_tokens += f64::from(unread);
+        self.prefilled_tokens += f64::from(unread);
         engine.kept.extend(parts.iter().map(|p| p.id));
         engine.waiting.push_back(Job {
             index: self.outcomes.len(),
@@ -281,7 +288,7 @@
                 continue;
             }
             let streams = engine.streams.len() as f64;
-            let ms = (STEP_MS.0 + STEP_MS.1 * streams + chunk / READ_PER_MS) / engine.speed;
+            let ms = (STEP_MS.0 + STEP_MS.1 * streams + chunk / PREFILL_PER_MS) / engine.speed;
             engine.free_at = now + Duration::from_secs_f64(ms / 1_000.0);
             for job in &mut engine.streams {
                 job.tokens_left -= 1.0;
--- a/samphiresill-sched/src/fleet/pace.rs
+++ b/samphiresill-sched/src/fleet/token_interval.rs
@@ -1,12 +1,12 @@
-//! The pace at which streams have to run, learnt from what callers ask for.
+//! The interval between tokens that streams need to finish in time, learnt from the requests.
 //!
-//! Answers the load pattern in which long answers are begun but not ended in time: when nine in
-//! ten of the requests of late need a token every 12 ms to end in time, engines are not loaded
-//! beyond that pace.
+//! Answers the load pattern in which long answers are started but not finished in time: when nine
+//! in ten of the recent requests need a token every 12 ms, engines are not loaded so far that their
+//! streams become slower.
 
-use super::work::Ask;
+use super::work::PlacementRequest;
 
-/// Part of the requests whose need the target may leave unmet.
+/// Part of the requests that need a shorter interval than the target.
 const UNMET: f64 = 0.08;
 /// Step of the estimate, as a part of itself, for each request.
 const STEP: f64 = 0.1;
@@ -14,16 +14,16 @@
 const FIRST_TARGET_MS: f64 = 15.0;
 /// Bounds of the target, in milliseconds for each token.
 const BOUNDS: (f64, f64) = (4.0, 60.0);
-/// Part of its time in which a stream should end, as the estimate of its length is rough.
+/// Part of its time in which a stream should finish, as the estimate of its length is rough.
 const TIME_PART: f64 = 0.8;
 
-/// `PaceTarget` is a running low quantile of the paces that requests need.
+/// `TokenIntervalTarget` is a running low quantile of the intervals that requests need.
 #[derive(Clone, Copy, Debug)]
-pub struct PaceTarget {
+pub struct TokenIntervalTarget {
     ms: f64,
 }
 
-impl Default for PaceTarget {
+impl Default for TokenIntervalTarget {
     fn default() -> Self {
         Self {
             ms: FIRST_TARGET_MS,
@@ -31,7 +31,7 @@
     }
 }
 
-impl PaceTarget {
+impl TokenIntervalTarget {
     /// The target, in milliseconds for each token.
     #[must_use]
     pub fn ms(&self) -> f64 {
@@ -39,11 +39,11 @@
     }
 
     /// Takes in a request.
-    pub fn observe(&mut self, ask: &Ask<'_>) {
-        let Some(generation) = ask.generation.filter(|g| g.output_tokens > 0) else {
+    pub fn observe(&mut self, req: &PlacementRequest<'_>) {
+        let Some(generation) = req.generation.filter(|g| g.output_tokens > 0) else {
             return;
         };
-        let left_ms = ask.time_left.as_secs_f64() * 1_000.0;
+        let left_ms = req.time_left.as_secs_f64() * 1_000.0;
         let need = left_ms * TIME_PART / f64::from(generation.output_tokens);
         let step = if need < self.ms { UNMET - 1.0 } else { UNMET };
         self.ms = (self.ms * (step * STEP).exp()).clamp(BOUNDS.0, BOUNDS.1);
--- a/samphiresill-sched/src/fleet/work.rs
+++ b/samphiresill-sched/src/fleet/work.rs
@@ -1,4 +1,4 @@
-//! What a request asks of a target.
+//! What a request needs of a target.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 use samphiresill_core::name::{CustomerName, DomainName, TargetName, WorkName};
 use serde::{Deserialize, Serialize};
 
-/// Weight of a generated token against a read one, as the operators' capacity figure counts them.
+/// Weight of a generated token against a prompt token, as the operators' capacity figure counts them.
 const GENERATED_WEIGHT: u64 = 2;
 
 /// `RunId` identifies one run of a request over the fleet.
@@ -37,7 +37,7 @@
     pub tokens: u32,
 }
 
-/// `Generation` is what a request asks of a model engine.
+/// `Generation` is what a request needs of a model engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Generation {
     /// Parts of the prompt in order; the last one is the request's or its session's own.
@@ -62,9 +62,9 @@
     }
 }
 
-/// `Ask` is one request that needs a target.
+/// `PlacementRequest` is one request that needs a target.
 #[derive(Clone, Debug)]
-pub struct Ask<'a> {
+pub struct PlacementRequest<'a> {
     /// The customer; nothing on routes that need no key.
     pub customer: Option<&'a CustomerName>,
     /// The service that serves it.
@@ -72,15 +72,15 @@
     /// Present for requests to model engines.
     pub generation: Option<&'a Generation>,
     /// Time to the first byte within which the answer is on time.
-    pub aim: Duration,
+    pub latency_objective: Duration,
     /// Time that is left until the answer must have ended.
     pub time_left: Duration,
     /// Failure domain of the router.
     pub domain: &'a DomainName,
     /// Targets that were tried already.
     pub tried: &'a [TargetName],
-    /// How long the request has waited for room.
+    /// How long the request has been queued in its router.
     pub waited: Duration,
-    /// Whether the request has run, or part of it: it is then placed before fresh ones.
+    /// Whether the request has run, or part of it: it is then not refused for load.
     pub has_run: bool,
 }
