--- a/samphiresill-sched/src/fleet/tests/patterns.rs
+++ b/samphiresill-sched/src/fleet/tests/patterns.rs
@@ -155,23 +155,31 @@
     );
 }
 
-/// Retries of refused requests do not add to the demand of their customer.
+/// Retries of refused requests do not add to the demand of their customer, which would lower the
+/// fair level for others.
 #[test]
 fn a_retry_is_not_counted_as_more_demand() {
-    let mut shares = [0.0, 0.0];
-    for (returns, share) in shares.iter_mut().enumerate() {
+    let ratio = |retries: usize| {
         let mut world = World::new(&SPEEDS, 5);
         let mut rng: StdRng = rand::SeedableRng::seed_from_u64(5);
-        for _ in 0..200 {
+        for _ in 0..300 {
+            // A refusal is kept in the outcomes.
+            drop(world.offer(long_prompt(&mut rng, "b", 60)));
+        }
+        for _ in 0..30 {
             let request = long_prompt(&mut rng, "a", 60);
-            for _ in 0..=returns {
-                // A refusal is kept in the outcomes.
-                drop(world.offer(request.clone()));
+            for _ in 0..=retries {
+                let refusal = world.offer(request.clone()).expect_err("a saturated fleet");
+                assert!(refusal.recheck_in.is_none(), "{refusal:?}");
             }
         }
-        *share = world.account.share_ratio(&"a".into(), world.now);
-    }
-    assert!((shares[0] - shares[1]).abs() < 0.05, "{shares:?}");
+        world.account.share_ratio(&"b".into(), world.now)
+    };
+    let (without, with) = (ratio(0), ratio(3));
+    assert!(
+        (without - with).abs() < 0.01,
+        "{without} without retries, {with} with three"
+    );
 }
 
 /// Requests in a burst: those for which capacity is expected within a part of their latency
