--- a/samphiresill-tests/src/lib.rs
+++ b/samphiresill-tests/src/lib.rs
@@ -3,9 +3,8 @@
 //! The programs are those that `cargo build --workspace` has put beside the test's own folder.
 
 use std::fs::{self, File};
-use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
@@ -273,7 +272,9 @@
     fn start_standin(&mut self, kind: &str, address: SocketAddr, args: &[&str]) {
         let mut command = Command::new(program(&format!("samphiresill-standin-{kind}")));
         command.args(["--listen", &address.to_string()]).args(args);
-        self.standins.push(spawn(&mut command, Stdio::null()));
+        let log = self.folder.join(format!("{kind}-{}.log", address.port()));
+        let log = File::create(log).expect("a log can be created");
+        self.standins.push(spawn(&mut command, log.into()));
         eventually("a stand-in listens", || {
             std::net::TcpStream::connect(address).is_ok()
         });
@@ -450,19 +451,30 @@
     }
 }
 
+/// Prints the end of each log of a fleet whose test has failed.
+fn print_logs(folder: &Path) {
+    let entries = fs::read_dir(folder).into_iter().flatten().flatten();
+    for path in entries.map(|e| e.path()) {
+        if path.extension().is_none_or(|e| e != "log") {
+            continue;
+        }
+        match fs::read_to_string(&path) {
+            Ok(log) => {
+                let tail: Vec<&str> = log.lines().rev().take(10).collect();
+                eprintln!("{}:\n{}", path.display(), tail.join("\n"));
+            }
+            Err(e) => eprintln!("{}: {e}", path.display()),
+        }
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         if thread::panicking() {
-            for router in &self.routers {
-                let mut log = String::new();
-                if File::open(&router.log)
-                    .and_then(|mut f| f.read_to_string(&mut log))
-                    .is_ok()
-                {
-                    let tail: Vec<&str> = log.lines().rev().take(10).collect();
-                    eprintln!("{}:\n{}", router.log.display(), tail.join("\n"));
-                }
+            for standin in &mut self.standins {
+                eprintln!("stand-in: {:?}", standin.child.try_wait());
             }
+            print_logs(&self.folder);
         }
         // The folder may be gone already.
         let _ = fs::remove_dir_all(&self.folder);
