--- /dev/null
+++ b/samphiresill-gateway/src/callers/activity.rs
@@ -0,0 +1,160 @@
+//! What happens on one connection of a caller: requests at work, a head that arrives, idleness.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use derive_more::Debug;
+use samphiresill_core::clock::Clock;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::gateway::{Gateway, InFlight};
+
+/// `Activity` is what happens on one connection.
+#[derive(Debug)]
+pub struct Activity {
+    #[debug(skip)]
+    clock: Arc<dyn Clock>,
+    requests: AtomicUsize,
+    /// Since when no request is at work, or the part of a head has been arriving; monotonic
+    /// milliseconds.
+    since_ms: AtomicU64,
+    is_head_pending: AtomicBool,
+}
+
+impl Activity {
+    /// A connection that was just accepted.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        let now = clock.monotonic().as_millis() as u64;
+        Self {
+            clock,
+            requests: AtomicUsize::new(0),
+            since_ms: AtomicU64::new(now),
+            is_head_pending: AtomicBool::new(false),
+        }
+    }
+
+    /// For how long no request has been at work.
+    #[must_use]
+    pub fn idle_for(&self) -> Duration {
+        if self.requests.load(Ordering::Relaxed) > 0 {
+            Duration::ZERO
+        } else {
+            self.since()
+        }
+    }
+
+    /// For how long the head of a request has been arriving without being whole.
+    #[must_use]
+    pub fn head_pending_for(&self) -> Duration {
+        if self.is_head_pending.load(Ordering::Relaxed) {
+            self.since()
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    fn since(&self) -> Duration {
+        let since = Duration::from_millis(self.since_ms.load(Ordering::Relaxed));
+        self.clock.monotonic().saturating_sub(since)
+    }
+
+    fn mark(&self) {
+        let now = self.clock.monotonic().as_millis() as u64;
+        self.since_ms.store(now, Ordering::Relaxed);
+    }
+
+    /// Notes bytes from the caller. While a request is at work they belong to it.
+    fn received(&self) {
+        let is_idle = self.requests.load(Ordering::Relaxed) == 0;
+        if is_idle && !self.is_head_pending.swap(true, Ordering::Relaxed) {
+            self.mark();
+        }
+    }
+}
+
+/// `Busy` counts a request as at work, on its connection and in the gateway, until it is dropped.
+#[derive(Debug)]
+pub struct Busy {
+    activity: Arc<Activity>,
+    _in_flight: InFlight,
+}
+
+impl Busy {
+    /// Counts a request whose head has arrived.
+    #[must_use]
+    pub fn new(activity: &Arc<Activity>, gateway: &Gateway) -> Self {
+        activity.requests.fetch_add(1, Ordering::Relaxed);
+        activity.is_head_pending.store(false, Ordering::Relaxed);
+        Self {
+            activity: Arc::clone(activity),
+            _in_flight: gateway.begin_request(),
+        }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.activity.mark();
+        self.activity.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// `Watched` is a caller's connection that tells its activity of received bytes.
+#[derive(Debug)]
+pub struct Watched {
+    /// The connection.
+    pub stream: TcpStream,
+    /// What happens on it.
+    pub activity: Arc<Activity>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.received();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/samphiresill-gateway/src/callers.rs
+++ b/samphiresill-gateway/src/callers/mod.rs
@@ -1,10 +1,11 @@
 //! The callers' interface: connections, their bounds, and their end.
 
+mod activity;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::header::{CONNECTION, HeaderValue};
@@ -12,6 +13,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 
+pub use self::activity::Busy;
+use self::activity::{Activity, Watched};
 use crate::gateway::Gateway;
 use crate::listener::{Accepted, Listener};
 use crate::relay;
@@ -20,6 +23,8 @@
 const IDLE_CHECK: Duration = Duration::from_secs(1);
 /// Idle timeout without a configuration.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// Time for the head of a request to arrive without a configuration.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bytes of a request's head without a configuration; the smallest buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Part of the process's descriptors that callers may take; the rest is for targets and peers.
@@ -41,29 +46,6 @@
     Listener::start(address, "callers", max_connections, serve).await
 }
 
-/// `Activity` is the number of requests on a connection and when it last changed.
-#[derive(Debug, Default)]
-struct Activity {
-    requests: AtomicUsize,
-    changed_ms: AtomicU64,
-}
-
-impl Activity {
-    fn change(&self, gateway: &Gateway) {
-        let now = gateway.clock.monotonic().as_millis();
-        self.changed_ms.store(now as u64, Ordering::Relaxed);
-    }
-
-    fn idle_for(&self, now: Duration) -> Duration {
-        if self.requests.load(Ordering::Relaxed) > 0 {
-            return Duration::ZERO;
-        }
-        now.saturating_sub(Duration::from_millis(
-            self.changed_ms.load(Ordering::Relaxed),
-        ))
-    }
-}
-
 async fn serve(gateway: Arc<Gateway>, accepted: Accepted) {
     let Accepted {
         stream,
@@ -73,49 +55,58 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(error:% = e; "connection without nodelay");
     }
-    let activity = Arc::new(Activity::default());
-    activity.change(&gateway);
+    let activity = Arc::new(Activity::new(Arc::clone(&gateway.clock)));
     let service = {
         let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
         let occupancy = occupancy.clone();
         service_fn(move |req| {
-            let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
+            let busy = Busy::new(&activity, &gateway);
+            let gateway = Arc::clone(&gateway);
             let is_occupancy_high = occupancy.exceeds(HIGH_OCCUPANCY);
             async move {
-                activity.requests.fetch_add(1, Ordering::Relaxed);
-                let mut response = relay::handle(Arc::clone(&gateway), req).await;
+                let mut response = relay::handle(gateway, req).await;
                 if is_occupancy_high {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                activity.requests.fetch_sub(1, Ordering::Relaxed);
-                activity.change(&gateway);
+                response.body_mut().hold(busy);
                 Ok::<_, Infallible>(response)
             }
         })
     };
     let table = gateway.knowledge.table();
     let head_bytes = table.map_or(MIN_HEAD_BYTES, |t| t.limits.head_bytes);
+    let watched = Watched {
+        stream,
+        activity: Arc::clone(&activity),
+    };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        // It would also end idle connections.
         .header_read_timeout(None)
         .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(watched), service);
     let mut connection = pin!(connection);
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
-            _ = closing.changed() => break {
+            _ = closing.changed() => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
-            },
+                break connection.await;
+            }
             () = tokio::time::sleep(IDLE_CHECK) => {
-                let limit = if occupancy.exceeds(HIGH_OCCUPANCY) {
+                let limits = gateway.knowledge.table().map(|t| t.limits);
+                let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
+                if activity.head_pending_for() > head_timeout {
+                    log::debug!("head of a request not whole in time");
+                    return;
+                }
+                let idle_timeout = if occupancy.exceeds(HIGH_OCCUPANCY) {
                     IDLE_AT_HIGH_OCCUPANCY
                 } else {
-                    gateway.knowledge.table().map_or(DEFAULT_IDLE, |t| t.limits.idle_timeout)
+                    limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout)
                 };
-                if activity.idle_for(gateway.clock.monotonic()) > limit {
+                if activity.idle_for() > idle_timeout {
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/samphiresill-gateway/src/connection/pool.rs
+++ b/samphiresill-gateway/src/connection/pool.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use hyper::HeaderMap;
 use hyper::header::{CONNECTION, HeaderName};
 use samphiresill_core::clock::Clock;
@@ -17,7 +18,7 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Margin before the other side closes an idle connection: its clock began earlier than ours.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Idle connections for each address.
+/// Idle connections for each address without a limit of its own.
 const MAX_IDLE: usize = 64;
 
 #[derive(Debug)]
@@ -30,6 +31,8 @@
 pub struct Pool {
     clock: Arc<dyn Clock>,
     idle: Mutex<BTreeMap<SocketAddr, Vec<Idle>>>,
+    /// Idle connections that an address allows.
+    max_idle: ArcSwap<BTreeMap<SocketAddr, usize>>,
 }
 
 impl Pool {
@@ -39,9 +42,16 @@
         Self {
             clock,
             idle: Mutex::default(),
+            max_idle: ArcSwap::default(),
         }
     }
 
+    /// Sets the idle connections that each address allows; those of other addresses are closed.
+    pub fn set_max_idle(&self, max_idle: BTreeMap<SocketAddr, usize>) {
+        self.retain(|address| max_idle.contains_key(address));
+        self.max_idle.store(Arc::new(max_idle));
+    }
+
     /// An idle connection, or a new one.
     ///
     /// # Errors
@@ -67,9 +77,10 @@
             return;
         };
         let until = self.clock.monotonic() + keep;
+        let max_idle = self.max_idle.load().get(&address).copied();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = idle.entry(address).or_default();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < max_idle.unwrap_or(MAX_IDLE) {
             idle.push(Idle { connection, until });
         }
     }
--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -11,10 +11,11 @@
 use samphiresill_attempt::budget::{self, Budgets};
 use samphiresill_core::clock::Clock;
 use samphiresill_core::name::{DomainName, TargetName, WorkName};
-use samphiresill_core::routing::{TargetEntry, TargetState};
+use samphiresill_core::routing::{RoutingTable, TargetEntry, TargetState};
 use samphiresill_sched::fleet::account::Account;
 use samphiresill_sched::fleet::overload::Overload;
 
+use crate::body_budget::BodyBudget;
 use crate::callers;
 use crate::connection::pool::Pool;
 use crate::dialect::Dialect;
@@ -61,10 +62,14 @@
     pub metrics: Metrics,
     /// Bound on lines in the log.
     pub lines: LogBudget,
+    /// Bound on the memory of bodies.
+    pub bodies: BodyBudget,
     account: Mutex<Account>,
     overload: Mutex<Overload>,
     streams: Arc<AtomicUsize>,
     retries: Mutex<Budgets<WorkName>>,
+    /// Routers in the fleet.
+    routers: AtomicUsize,
     is_stopping: AtomicBool,
     in_flight: Arc<AtomicUsize>,
 }
@@ -95,6 +100,7 @@
         let gateway = Self {
             domain: settings.domain.clone(),
             peers,
+            bodies: BodyBudget::new(settings.limits.memory_mb),
             settings: ArcSwap::from_pointee(settings),
             targets: Pool::new(Arc::clone(&clock)),
             calls: Pool::new(Arc::clone(&clock)),
@@ -107,10 +113,11 @@
             overload: Mutex::default(),
             streams: Arc::default(),
             retries: Mutex::default(),
+            routers: AtomicUsize::new(1),
             is_stopping: AtomicBool::new(false),
             in_flight: Arc::default(),
         };
-        gateway.size_retries(1);
+        gateway.size_retries();
         Ok(Arc::new(gateway))
     }
 
@@ -198,12 +205,19 @@
         self.retries().spend(service)
     }
 
-    /// Divides the fleet's allowance of retries among `routers`.
-    pub fn size_retries(&self, routers: usize) {
+    /// Takes the number of routers in the fleet, which share its allowance of retries and the
+    /// connections that targets accept.
+    pub fn set_routers(&self, routers: usize) {
+        self.routers.store(routers.max(1), Ordering::Relaxed);
+        self.size_retries();
+    }
+
+    fn size_retries(&self) {
+        let routers = self.routers.load(Ordering::Relaxed);
         let bounds = self.settings.load().bounds;
         let opts = budget::Options {
             earned_per_request: bounds.retry_ratio * RETRY_SAFETY,
-            max_saved: bounds.retry_slack * RETRY_SAFETY / routers.max(1) as f64,
+            max_saved: bounds.retry_slack * RETRY_SAFETY / routers as f64,
         };
         self.retries().set_options(opts);
     }
@@ -214,8 +228,12 @@
 
     /// Takes over changed settings; addresses stay as they were at the start.
     pub fn reload(&self, settings: Settings) {
-        log::info!("settings reloaded");
+        if **self.settings.load() == settings {
+            return;
+        }
         self.settings.store(Arc::new(settings));
+        self.size_retries();
+        log::info!("settings reloaded");
     }
 
     /// Serves until `stop` completes, then completes what is in flight.
@@ -264,8 +282,9 @@
                 log_targets(&mut listed, &targets);
                 self.account().set_targets(&targets, &table);
                 self.metrics.knowledge(table.revision, targets.len());
-                let addresses: Vec<SocketAddr> = targets.iter().map(|t| t.address).collect();
-                self.targets.retain(|a| addresses.contains(a));
+                let routers = self.routers.load(Ordering::Relaxed);
+                self.targets
+                    .set_max_idle(max_idle(&targets, &table, routers));
             }
             if changes.changed().await.is_err() {
                 return;
@@ -282,6 +301,22 @@
     }
 }
 
+/// This router's part of the idle connections that each target allows: what it accepts, less what
+/// its slots use.
+fn max_idle(
+    targets: &[TargetEntry],
+    table: &RoutingTable,
+    routers: usize,
+) -> BTreeMap<SocketAddr, usize> {
+    let part = |t: &TargetEntry| {
+        let service = table.services.get(&t.service);
+        let accepted = service.map_or(0, |s| s.max_connections);
+        let spare = accepted.saturating_sub(t.slots) as usize;
+        (t.address, (spare / routers).max(1))
+    };
+    targets.iter().map(part).collect()
+}
+
 /// Logs targets that were added, changed their state or were removed.
 fn log_targets(known: &mut BTreeMap<TargetName, TargetState>, targets: &[TargetEntry]) {
     let now: BTreeMap<TargetName, TargetState> =
--- a/samphiresill-gateway/src/lib.rs
+++ b/samphiresill-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! and targets are in [`knowledge::Knowledge`]; routers exchange their load and newer knowledge
 //! through [`peers`].
 
+pub mod body_budget;
 pub mod callers;
 pub mod connection;
 pub mod dialect;
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -197,7 +197,7 @@
         let usable = self.membership.usable().len();
         // A dead one may still send, if only the network to it is partitioned.
         self.gateway
-            .size_retries(self.membership.members().len().max(usable));
+            .set_routers(self.membership.members().len().max(usable));
         log::info!(
             members = usable, schedulers = self.roles.schedulers.len(), is_scheduler;
             "membership changed"
--- a/samphiresill-gateway/src/relay/answer.rs
+++ b/samphiresill-gateway/src/relay/answer.rs
@@ -11,7 +11,7 @@
 use hyper::{Response, StatusCode};
 
 use super::stream::Stream;
-use crate::gateway::InFlight;
+use crate::callers::Busy;
 
 #[derive(Debug)]
 enum Content {
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct Answer {
     content: Content,
-    in_flight: Option<InFlight>,
+    busy: Option<Busy>,
 }
 
 impl Answer {
@@ -32,7 +32,7 @@
     pub fn whole(bytes: Bytes) -> Self {
         Self {
             content: Content::Whole(Some(bytes).filter(|b| !b.is_empty())),
-            in_flight: None,
+            busy: None,
         }
     }
 
@@ -41,13 +41,13 @@
     pub fn stream(stream: Stream) -> Self {
         Self {
             content: Content::Stream(Box::new(stream)),
-            in_flight: None,
+            busy: None,
         }
     }
 
     /// Counts the request as at work until the body has ended.
-    pub fn hold(&mut self, in_flight: InFlight) {
-        self.in_flight = Some(in_flight);
+    pub fn hold(&mut self, busy: Busy) {
+        self.busy = Some(busy);
     }
 }
 
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -164,7 +164,7 @@
         copy_from: placement.copy_from,
         resume_after,
     };
-    let mut req = Request::new(Full::new(call.body.clone()));
+    let mut req = Request::new(Full::new(Bytes::clone(&call.body)));
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = call.uri.clone();
     *req.headers_mut() = gateway.dialect.target_headers(&call.headers, &forward);
--- a/samphiresill-gateway/src/relay/call.rs
+++ b/samphiresill-gateway/src/relay/call.rs
@@ -3,15 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use samphiresill_attempt::failure::Nature;
 use samphiresill_core::name::{CustomerName, RequestId, WorkName};
 use samphiresill_core::routing::{Exchange, Route};
 use samphiresill_sched::fleet::work::Generation;
 
+use crate::body_budget::Body;
+
 /// `Call` is one request of a caller.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Call {
     /// Identity that the caller gave it.
     pub request: RequestId,
@@ -32,7 +33,7 @@
     /// Headers, as sent.
     pub headers: HeaderMap,
     /// Body, as sent.
-    pub body: Bytes,
+    pub body: Body,
     /// Monotonic time at which the head of the request had arrived.
     pub started: Duration,
     /// Monotonic time at which it must have its final answer.
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -10,16 +10,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
+use bytes::BytesMut;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use samphiresill_core::name::CustomerName;
-use samphiresill_core::routing::{Exchange, Route, RoutingTable};
+use samphiresill_core::routing::{CallerLimits, Exchange, Route, RoutingTable};
 use samphiresill_sched::fleet::overload::Overload;
 
 use self::answer::Answer;
 use self::call::Call;
+use crate::body_budget::{Body, Reservation};
 use crate::dialect::CallerHead;
 use crate::gateway::Gateway;
 use crate::log_budget;
@@ -28,19 +30,20 @@
 /// `Retry-After` while no configuration is known.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 
+/// `Retry-After` while the memory for bodies is taken: bodies are gone with their requests, most
+/// of which end within a second.
+const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 /// `Refused` is an answer of the gateway itself, in place of a request that can be forwarded.
 type Refused = Box<Response<Answer>>;
 
 /// Serves one request of a caller.
 pub async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Answer> {
-    let in_flight = gateway.begin_request();
     let started = gateway.clock.monotonic();
-    let mut response = match read(&gateway, req, started).await {
+    match read(&gateway, req, started).await {
         Ok(call) => serve(&gateway, call).await,
         Err(refused) => *refused,
-    };
-    response.body_mut().hold(in_flight);
-    response
+    }
 }
 
 /// Forwards a request, unless it is a stream that the processor cannot relay.
@@ -85,7 +88,7 @@
         )));
     };
     let (parts, body) = req.into_parts();
-    let body = read_body(&table, &parts.headers, body).await?;
+    let body = read_body(gateway, table.limits, &parts.headers, body).await?;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let service = route.service(rand::random()).clone();
     let is_generation = matches!(route.exchange, Exchange::Generation { .. });
@@ -138,36 +141,75 @@
     Ok((Arc::clone(route), customer.cloned()))
 }
 
+/// Reads a whole body within the limits of the configuration and the memory for bodies.
 async fn read_body(
-    table: &RoutingTable,
+    gateway: &Gateway,
+    limits: CallerLimits,
     headers: &hyper::HeaderMap,
     body: Incoming,
-) -> Result<bytes::Bytes, Refused> {
-    let limit = table.limits.body_bytes;
+) -> Result<Body, Refused> {
     let length = headers
         .get(CONTENT_LENGTH)
         .and_then(|l| l.to_str().ok()?.parse::<usize>().ok());
-    let too_large = || {
-        let reason = "the body is too large";
-        Box::new(answer::local(StatusCode::PAYLOAD_TOO_LARGE, reason))
-    };
-    if length.is_some_and(|l| l > limit) {
+    let mut reservation = gateway.bodies.begin();
+    let expected = length.unwrap_or(0);
+    if expected > limits.body_bytes {
         return Err(too_large());
     }
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout(table.limits.idle_timeout, reading).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Ok(Err(e)) => {
-            log::debug!(error:% = e; "body of a request broke off");
+    if !reservation.grow(expected) {
+        return Err(no_memory(gateway));
+    }
+    let reading = read_pieces(gateway, body, limits.body_bytes, expected, reservation);
+    tokio::time::timeout(limits.idle_timeout, reading)
+        .await
+        .unwrap_or_else(|_| {
             Err(Box::new(answer::local(
-                StatusCode::BAD_REQUEST,
-                "the body broke off",
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
             )))
+        })
+}
+
+async fn read_pieces(
+    gateway: &Gateway,
+    mut body: Incoming,
+    limit: usize,
+    reserved: usize,
+    mut reservation: Reservation,
+) -> Result<Body, Refused> {
+    let mut whole = BytesMut::with_capacity(reserved);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| {
+            log::debug!(error:% = e; "body of a request broke off");
+            Box::new(answer::local(StatusCode::BAD_REQUEST, "the body broke off"))
+        })?;
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        let length = whole.len() + piece.len();
+        if length > limit {
+            return Err(too_large());
+        }
+        if length > reserved && !reservation.grow(length - whole.len().max(reserved)) {
+            return Err(no_memory(gateway));
         }
-        Err(_) => Err(Box::new(answer::local(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-        ))),
+        whole.extend_from_slice(&piece);
+    }
+    Ok(reservation.body(whole.freeze()))
+}
+
+fn too_large() -> Refused {
+    let reason = "the body is too large";
+    Box::new(answer::local(StatusCode::PAYLOAD_TOO_LARGE, reason))
+}
+
+/// The request has not run; the rest of its body is not read, so its connection ends.
+fn no_memory(gateway: &Gateway) -> Refused {
+    if gateway.lines.allows(log_budget::Kind::Refused) {
+        log::warn!(free_bytes = gateway.bodies.free(); "refused, no memory for another body");
     }
+    let mut refusal = answer::refusal("too many long bodies at once", NO_MEMORY_RETRY);
+    let close = HeaderValue::from_static("close");
+    refusal.headers_mut().insert(CONNECTION, close);
+    Box::new(refusal)
 }
--- /dev/null
+++ b/samphiresill-gateway/src/tests/body_budget.rs
@@ -0,0 +1,30 @@
+//! The bound on buffered bodies.
+
+use bytes::Bytes;
+
+use crate::body_budget::BodyBudget;
+
+#[test]
+fn bodies_beyond_the_budget_are_not_taken_until_others_are_gone() {
+    let budget = BodyBudget::new(1);
+    let all = budget.free();
+    let mut first = budget.begin();
+    assert!(first.grow(all / 2));
+    assert!(first.grow(all / 4));
+    let mut second = budget.begin();
+    assert!(!second.grow(all / 2), "only a quarter is left");
+    assert!(second.grow(all / 8), "a refusal reserves nothing");
+    let body = first.body(Bytes::from_static(b"abc"));
+    assert_eq!(&body[..], b"abc");
+    assert!(!second.grow(all / 2), "a body keeps its reservation");
+    drop(body);
+    assert!(second.grow(all / 2));
+    drop(second);
+    assert_eq!(budget.free(), all);
+}
+
+#[test]
+fn a_body_longer_than_any_budget_is_not_taken() {
+    let budget = BodyBudget::new(1);
+    assert!(!budget.begin().grow(usize::MAX));
+}
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -14,7 +14,7 @@
 use samphiresill_gateway::knowledge::Knowledge;
 use samphiresill_gateway::peers::Peers;
 use samphiresill_gateway::settings::Settings;
-use samphiresill_telemetry::logging::{self, Output};
+use samphiresill_telemetry::logging::{self, Logging, Output};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings or options that are not accepted.
@@ -25,8 +25,9 @@
 /// Runs `samphiresill-router gateway` with its options.
 pub fn main(args: &[String]) -> ExitCode {
     let mut spec = Options::new();
+    spec.optflag("h", "help", "print this help");
     spec.optflag("", "check-config", "check the settings and start nothing");
-    spec.reqopt(
+    spec.optopt(
         "c",
         "config",
         "file with the settings, JSON with comments",
@@ -36,7 +37,14 @@
         Ok(given) => given,
         Err(e) => return refuse(&e.to_string()),
     };
-    let path = given.opt_str("config").unwrap_or_default();
+    if given.opt_present("help") {
+        let brief = "Usage: samphiresill-router gateway --config FILE [--check-config]";
+        print!("{}", spec.usage(brief));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = given.opt_str("config") else {
+        return refuse("--config FILE is missing");
+    };
     let settings = match Settings::read(&path) {
         Ok(settings) => settings,
         Err(e) => return refuse(&format!("{e:#}")),
@@ -61,18 +69,18 @@
 }
 
 fn run(settings: Settings, path: String) -> anyhow::Result<()> {
-    let _logging = logging::start(&settings.log_level, Output::Stdout)?;
+    let logging = logging::start(&settings.log_level, Output::Stdout)?;
     // One thread: the VMs that host the gateway have one core.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    let ended = runtime.block_on(serve(settings, path));
+    let ended = runtime.block_on(serve(settings, path, logging.clone()));
     runtime.shutdown_background();
     ended
 }
 
-async fn serve(settings: Settings, path: String) -> anyhow::Result<()> {
+async fn serve(settings: Settings, path: String, logging: Logging) -> anyhow::Result<()> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let dialect = Arc::new(PlatformDialect);
     let knowledge = Arc::new(Knowledge::new(dialect.clone()));
@@ -82,7 +90,7 @@
     let origin = origin(&settings, clock.as_ref());
     let peers = Arc::new(Peers::bind(settings.listen.peers).await?);
     let gateway = Gateway::new(settings, clock, dialect, knowledge, peers, origin)?;
-    tokio::spawn(follow_settings(Arc::clone(&gateway), path));
+    tokio::spawn(follow_settings(Arc::clone(&gateway), path, logging));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let stop = async move {
@@ -104,7 +112,7 @@
 }
 
 /// Reloads changed settings, with a signal or without.
-async fn follow_settings(gateway: Arc<Gateway>, path: String) {
+async fn follow_settings(gateway: Arc<Gateway>, path: String, logging: Logging) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(e) => {
@@ -112,26 +120,28 @@
             return;
         }
     };
-    let mut seen = std::fs::read(&path).unwrap_or_default();
+    let mut seen = None;
     loop {
         tokio::select! {
             _ = hangup.recv() => log::info!("signal to reload"),
             () = tokio::time::sleep(SETTINGS_POLL) => {}
         }
         let bytes = match std::fs::read(&path) {
-            Ok(bytes) if bytes != seen => bytes,
+            Ok(bytes) if seen.as_ref() != Some(&bytes) => bytes,
             Ok(_) => continue,
             Err(e) => {
                 log::warn!(error:% = e; "settings not readable, keeping the former ones");
                 continue;
             }
         };
-        seen = bytes;
-        match Settings::parse(&String::from_utf8_lossy(&seen)) {
-            Ok(settings) => gateway.reload(settings),
-            Err(e) => {
-                log::error!(error:% = format!("{e:#}"); "settings not valid, keeping the former ones");
-            }
+        let reloaded = Settings::parse(&String::from_utf8_lossy(&bytes)).and_then(|settings| {
+            logging.set_level(&settings.log_level)?;
+            gateway.reload(settings);
+            Ok(())
+        });
+        if let Err(e) = reloaded {
+            log::error!(error:% = format!("{e:#}"); "settings not valid, keeping the former ones");
         }
+        seen = Some(bytes);
     }
 }
