--- a/samphiresill-attempt/src/failure.rs
+++ b/samphiresill-attempt/src/failure.rs
@@ -35,6 +35,10 @@
     /// The target states that it has not run the request and will not run it.
     #[display("not executed")]
     NotExecuted,
+    /// Another target answers at the address of the one that the request is for, and has not run
+    /// it.
+    #[display("misdirected")]
+    Misdirected,
     /// The answer broke off.
     #[display("during answer")]
     DuringAnswer,
@@ -98,19 +102,20 @@
     /// Whether a target may have run the request although the attempt failed there.
     #[must_use]
     pub fn may_have_run(self) -> bool {
-        !matches!(
-            self,
-            Self::Connect | Self::RefusedByTarget | Self::NotExecuted
-        )
+        !self.is_harmless() && self != Self::RefusedByTarget
+    }
+
+    /// Whether it is certain that no target has seen the request, or that each states that it has
+    /// not run it.
+    fn is_harmless(self) -> bool {
+        matches!(self, Self::Connect | Self::NotExecuted | Self::Misdirected)
     }
 }
 
 fn verdict_once(point: FailurePoint, may_try_again: bool) -> Verdict {
     match (point, may_try_again) {
-        (FailurePoint::Connect | FailurePoint::NotExecuted, true) => Verdict::Retry,
-        (FailurePoint::Connect | FailurePoint::NotExecuted, false) => {
-            Verdict::Tell(Refusal::TargetUnavailable)
-        }
+        (point, true) if point.is_harmless() => Verdict::Retry,
+        (point, false) if point.is_harmless() => Verdict::Tell(Refusal::TargetUnavailable),
         (FailurePoint::RefusedByTarget, _) => Verdict::PassOn,
         _ => Verdict::Tell(Refusal::TargetFailed),
     }
@@ -119,9 +124,7 @@
 fn verdict_idempotent(point: FailurePoint, may_try_again: bool) -> Verdict {
     match (point, may_try_again) {
         (_, true) => Verdict::Retry,
-        (FailurePoint::Connect | FailurePoint::NotExecuted, false) => {
-            Verdict::Tell(Refusal::TargetUnavailable)
-        }
+        (point, false) if point.is_harmless() => Verdict::Tell(Refusal::TargetUnavailable),
         (FailurePoint::RefusedByTarget, false) => Verdict::PassOn,
         (_, false) => Verdict::Tell(Refusal::TargetFailed),
     }
--- /dev/null
+++ b/samphiresill-gateway/src/knowledge/directory.rs
@@ -0,0 +1,176 @@
+//! The directory of targets as known to a router, by rows with versions.
+//!
+//! Answers the load pattern in which many targets change at once before many routers: a router
+//! that is behind is sent the rows that changed since, not the whole directory.
+//!
+//! Invariants: the directory's version never falls; a row is replaced only by one of a higher
+//! version; at most [`MAX_REMOVED`] removed rows are kept.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// Removed rows that are kept, so that routers that are behind learn of them: several hours of the
+/// planned 330 restarts and 4,900 changes a day.
+const MAX_REMOVED: usize = 2_000;
+/// Bytes of a change beside its name and document.
+const CHANGE_BYTES: usize = 16;
+
+/// `Change` is one change of the directory of targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name of the target.
+    pub name: String,
+    /// Its entry as written; nothing when it was removed.
+    pub document: Option<Bytes>,
+    /// Version of the change.
+    pub version: u64,
+}
+
+impl Change {
+    fn bytes(&self) -> usize {
+        self.name.len() + self.document.as_ref().map_or(0, Bytes::len) + CHANGE_BYTES
+    }
+}
+
+/// `Update` are changes that lead from one version of the directory to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Version that the receiver must have reached; nothing when `changes` are the whole directory.
+    pub base: Option<u64>,
+    /// Version with the changes.
+    pub version: u64,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// `Directory` holds the rows of the directory, removed ones included.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    version: u64,
+    rows: BTreeMap<String, Change>,
+    /// Removed rows of this version or a lower one have been dropped.
+    dropped: u64,
+}
+
+impl Directory {
+    /// Version of the newest change.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Rows, removed ones included.
+    pub fn rows(&self) -> impl Iterator<Item = &Change> {
+        self.rows.values()
+    }
+
+    /// Takes changes, each unless a newer one is known for its target.
+    pub fn apply(&mut self, changes: Vec<Change>) {
+        // A row that is not known was removed, and dropped, if its version is not above that.
+        self.merge(changes, self.dropped);
+    }
+
+    /// Takes the whole directory as of `version`: what it does not list was removed.
+    pub fn replace(&mut self, listed: Vec<Change>, version: u64) {
+        let is_listed = |name: &String| listed.iter().any(|c| c.name == *name);
+        let removed = self
+            .rows
+            .values()
+            .filter(|c| c.document.is_some() && c.version <= version && !is_listed(&c.name));
+        let removed: Vec<Change> = removed
+            .map(|c| Change {
+                name: c.name.clone(),
+                document: None,
+                // Routers that are behind learn of it although no row in the store says so.
+                version: version.max(c.version + 1),
+            })
+            .collect();
+        self.merge(listed, 0);
+        self.merge(removed, 0);
+    }
+
+    fn merge(&mut self, changes: Vec<Change>, known_to: u64) {
+        for change in changes {
+            let known = self.rows.get(&change.name).map_or(known_to, |c| c.version);
+            if change.version > known {
+                self.version = self.version.max(change.version);
+                self.rows.insert(change.name.clone(), change);
+            }
+        }
+        self.drop_removed();
+    }
+
+    /// Takes an update of another router; false when changes before it are missing here.
+    pub fn update(&mut self, update: Update) -> bool {
+        match update.base {
+            None => self.replace(update.changes, update.version),
+            Some(base) if base <= self.version => self.apply(update.changes),
+            Some(_) => return false,
+        }
+        self.version = self.version.max(update.version);
+        true
+    }
+
+    /// What a router at version `after` lacks.
+    #[must_use]
+    pub fn since(&self, after: u64) -> Update {
+        let is_whole = after < self.dropped || after == 0;
+        let is_sent = |c: &&Change| {
+            if is_whole {
+                c.document.is_some()
+            } else {
+                c.version > after
+            }
+        };
+        Update {
+            base: (!is_whole).then_some(after),
+            version: self.version,
+            changes: self.rows.values().filter(is_sent).cloned().collect(),
+        }
+    }
+
+    fn drop_removed(&mut self) {
+        let removed = self.rows.values().filter(|c| c.document.is_none());
+        let mut versions: Vec<u64> = removed.map(|c| c.version).collect();
+        if versions.len() <= MAX_REMOVED {
+            return;
+        }
+        versions.sort_unstable();
+        // Half of what may be kept goes at once, so that this is rare.
+        let newest_dropped = versions[versions.len() - MAX_REMOVED / 2];
+        self.dropped = self.dropped.max(newest_dropped);
+        let dropped = self.dropped;
+        self.rows
+            .retain(|_, c| c.document.is_some() || c.version > dropped);
+    }
+}
+
+impl Update {
+    /// Cuts the update into parts of at most `bytes` each that follow each other; changes of one
+    /// version stay together.
+    #[must_use]
+    pub fn into_parts(mut self, bytes: usize) -> Vec<Self> {
+        self.changes.sort_by_key(|c| c.version);
+        let mut parts: Vec<Self> = Vec::new();
+        let mut size = 0;
+        for change in self.changes {
+            let last = parts.last().map(|p| p.version);
+            size += change.bytes();
+            if size > bytes && last.is_some_and(|v| v < change.version) || last.is_none() {
+                size = change.bytes();
+                parts.push(Self {
+                    base: last.or(self.base),
+                    version: 0,
+                    changes: Vec::new(),
+                });
+            }
+            if let Some(part) = parts.last_mut() {
+                part.version = change.version;
+                part.changes.push(change);
+            }
+        }
+        parts
+    }
+}
--- a/samphiresill-gateway/src/knowledge.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: the revision in force never falls; the directory's version never falls.
 
-use std::collections::BTreeMap;
+pub mod directory;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -11,11 +12,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use self::directory::{Change, Directory, Update};
 use crate::dialect::Dialect;
 
-/// Size of a delta that is sent in a datagram, in bytes; larger ones are fetched.
-const MAX_DELTA_BYTES: usize = 1_100;
-
 /// `Versions` are the versions of a router's knowledge.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
@@ -25,47 +24,6 @@
     pub directory: u64,
 }
 
-/// `Change` is one change of the directory of targets.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Change {
-    /// Name of the target.
-    pub name: String,
-    /// Its entry as written; nothing when it was removed.
-    pub document: Option<Bytes>,
-    /// Version of the change.
-    pub version: u64,
-}
-
-/// `DirectoryDelta` are the newest changes of the directory, relative to a base version.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct DirectoryDelta {
-    /// Version before the changes.
-    pub base: u64,
-    /// Version with the changes.
-    pub version: u64,
-    /// The changes.
-    pub changes: Vec<Change>,
-}
-
-#[derive(Debug, Default)]
-struct Directory {
-    version: u64,
-    rows: BTreeMap<String, Change>,
-    delta: Option<DirectoryDelta>,
-}
-
-impl Directory {
-    /// Takes changes, each unless a newer one is known for its target.
-    fn apply(&mut self, changes: Vec<Change>) {
-        for change in changes {
-            let known = self.rows.get(&change.name).map_or(0, |c| c.version);
-            if change.version > known {
-                self.rows.insert(change.name.clone(), change);
-            }
-        }
-    }
-}
-
 /// `Watching` is whether this gateway watches the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Watching {
@@ -143,7 +101,7 @@
     pub fn versions(&self) -> Versions {
         Versions {
             revision: self.table.load().as_ref().map_or(0, |t| t.revision),
-            directory: lock(&self.directory).version,
+            directory: lock(&self.directory).version(),
         }
     }
 
@@ -176,59 +134,31 @@
 
     /// Applies changes of the directory from the store.
     pub fn apply_changes(&self, changes: Vec<Change>) {
-        let mut directory = lock(&self.directory);
-        let base = directory.version;
-        let newest = changes.iter().map(|c| c.version).max().unwrap_or(0);
-        directory.apply(changes.clone());
-        directory.version = base.max(newest);
-        directory.delta = Some(DirectoryDelta {
-            base,
-            version: directory.version,
-            changes,
-        });
-        drop(directory);
+        lock(&self.directory).apply(changes);
         self.changed.send_replace(());
     }
 
     /// Replaces the directory by the whole of it as of `version`.
     pub fn replace_directory(&self, changes: Vec<Change>, version: u64) {
-        let mut directory = lock(&self.directory);
-        let newest = changes.iter().map(|c| c.version).max().unwrap_or(0);
-        let listed = changes.into_iter().map(|c| (c.name.clone(), c));
-        let newer = std::mem::take(&mut directory.rows)
-            .into_iter()
-            .filter(|(_, c)| c.version > version);
-        directory.rows = listed.chain(newer).collect();
-        // Gateways compare the versions of rows: that of the store rises without a change too.
-        directory.version = directory.version.max(newest);
-        directory.delta = None;
-        drop(directory);
+        lock(&self.directory).replace(changes, version);
         self.changed.send_replace(());
     }
 
-    /// Applies the newest changes from a peer, if the base version is known.
-    pub fn apply_delta(&self, delta: DirectoryDelta) {
+    /// Applies what a peer sent; ignored when changes before it are missing.
+    pub fn apply_update(&self, update: Update) {
         let mut directory = lock(&self.directory);
-        let is_next = directory.version >= delta.base && directory.version < delta.version;
-        if !is_next {
+        let is_newer = update.version > directory.version();
+        if !is_newer || !directory.update(update) {
             return;
         }
-        directory.apply(delta.changes.clone());
-        directory.version = delta.version;
-        directory.delta = Some(delta);
         drop(directory);
         self.changed.send_replace(());
     }
 
-    /// The newest changes of the directory, if they are known one by one.
+    /// What a router whose directory has version `after` lacks.
     #[must_use]
-    pub fn delta(&self) -> Option<DirectoryDelta> {
-        let directory = lock(&self.directory);
-        let size = |n: &DirectoryDelta| n.changes.iter().map(change_bytes).sum::<usize>();
-        directory
-            .delta
-            .clone()
-            .filter(|n| size(n) <= MAX_DELTA_BYTES)
+    pub fn directory_since(&self, after: u64) -> Update {
+        lock(&self.directory).since(after)
     }
 
     /// The usable entries of the directory.
@@ -245,7 +175,7 @@
                 }
             }
         };
-        directory.rows.values().filter_map(decode).collect()
+        directory.rows().filter_map(decode).collect()
     }
 
     /// The configuration as written.
@@ -253,20 +183,6 @@
     pub fn document(&self) -> Bytes {
         lock(&self.document).clone()
     }
-
-    /// The directory as written, with its version.
-    #[must_use]
-    pub fn directory(&self) -> (Vec<Change>, u64) {
-        let directory = lock(&self.directory);
-        (
-            directory.rows.values().cloned().collect(),
-            directory.version,
-        )
-    }
-}
-
-fn change_bytes(change: &Change) -> usize {
-    change.name.len() + change.document.as_ref().map_or(0, Bytes::len) + 16
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -127,7 +127,7 @@
                     Err(e) => log::debug!(error:% = e; "no datagram received"),
                 },
                 _ = ticks.tick() => self.tick().await,
-                Ok(()) = changes.changed() => self.broadcast_delta().await,
+                Ok(()) = changes.changed() => self.pass_on_knowledge().await,
                 Ok(()) = leaving.changed() => {
                     let out = self.membership.leave();
                     self.act(out).await;
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -10,7 +10,8 @@
 use samphiresill_sched::fleet::work::{Generation, PlacementRequest, RunId};
 use serde::{Deserialize, Serialize};
 
-use crate::knowledge::{DirectoryDelta, Versions};
+use crate::knowledge::Versions;
+use crate::knowledge::directory::Update;
 
 /// Bytes of a datagram at most; larger ones would be fragmented on most links.
 pub const MAX_BYTES: usize = 1_400;
@@ -48,8 +49,8 @@
     pub events: Vec<Event>,
     /// All its runs, now and then; those that are not listed have ended.
     pub runs: Option<Vec<u32>>,
-    /// The newest change of the directory of targets, if it is small.
-    pub delta: Option<DirectoryDelta>,
+    /// The newest changes of the directory of targets, or a part of them.
+    pub update: Option<Update>,
 }
 
 /// `PlacementRequestFrame` requests a placement from a scheduler.
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -17,6 +17,10 @@
 /// Time for which a peer has to be ahead of a watcher before its knowledge is fetched: the store
 /// usually notifies all watchers within that.
 const BEHIND: Duration = Duration::from_millis(300);
+/// Bytes of directory changes in one datagram.
+const MAX_UPDATE_BYTES: usize = 1_100;
+/// Datagrams of directory changes at a time; more changes are fetched.
+const MAX_UPDATE_PARTS: usize = 8;
 /// Runs listed in one datagram at most.
 const MAX_LISTED_RUNS: usize = 300;
 
@@ -43,8 +47,8 @@
             account.retain_runs(frame.origin, Some(&active), is_relayed, now);
         }
         drop(account);
-        if let Some(delta) = frame.delta {
-            self.gateway.knowledge.apply_delta(delta);
+        if let Some(update) = frame.update {
+            self.gateway.knowledge.apply_update(update);
         }
         let own = self.gateway.knowledge.versions();
         let is_behind =
@@ -78,13 +82,7 @@
         let to: Vec<SocketAddr> = if is_scheduler {
             self.roles.other_schedulers(&self.vm).into_iter().collect()
         } else {
-            self.peers
-                .schedulers()
-                .order
-                .first()
-                .copied()
-                .into_iter()
-                .collect()
+            self.peers.first_scheduler().into_iter().collect()
         };
         for mut frame in self.load_frames(events, is_list_due) {
             frame.is_for_relay = !is_scheduler;
@@ -94,48 +92,71 @@
         }
         if is_heartbeat {
             self.heartbeat_at = now;
-            let all = self.heartbeat_receivers(now, &to);
-            let frame = Frame::Load(self.empty_frame());
-            self.peers.send(&frame, all.into_iter()).await;
+            let mut frame = self.empty_frame();
+            frame.is_for_relay = !is_scheduler;
+            let all = self.heartbeat_receivers(is_scheduler, now, &to);
+            self.peers.send(&Frame::Load(frame), all.into_iter()).await;
         }
     }
 
-    /// Receivers of a heartbeat without load: all members from a watcher, its clients from a
-    /// scheduler.
-    pub(super) fn heartbeat_receivers(
+    /// Receivers of a heartbeat without load: the clients of a scheduler; for others the
+    /// schedulers that keep them informed, beside the one that their load goes to.
+    fn heartbeat_receivers(
         &mut self,
+        is_scheduler: bool,
         now: Duration,
         told: &[SocketAddr],
     ) -> Vec<SocketAddr> {
+        let mut receivers = self.live_clients(now);
+        if !is_scheduler {
+            receivers.extend(self.peers.informants());
+        }
+        receivers.retain(|a| !told.contains(a));
+        receivers
+    }
+
+    /// Gateways that have requested something here lately.
+    fn live_clients(&mut self, now: Duration) -> Vec<SocketAddr> {
         self.clients
             .retain(|_, heard| now.saturating_sub(*heard) < HEARTBEAT * 4);
-        let mut receivers: BTreeSet<SocketAddr> = self.clients.keys().copied().collect();
+        self.clients.keys().copied().collect()
+    }
+
+    /// Passes on newer knowledge: from the watchers to the schedulers, and from these to their
+    /// clients.
+    pub(super) async fn pass_on_knowledge(&mut self) {
+        let now = self.gateway.clock.monotonic();
+        let mut to = self.live_clients(now);
         if self.gateway.knowledge.is_watching() {
-            let members = self.membership.members().values();
-            receivers.extend(members.filter(|m| m.is_usable()).map(|m| m.address));
+            to.extend(self.roles.other_schedulers(&self.vm));
+        }
+        let announced = self.announced_version;
+        self.announced_version = self.gateway.knowledge.versions().directory;
+        for frame in self.update_frames(announced) {
+            self.peers
+                .send(&Frame::Load(frame), to.iter().copied())
+                .await;
         }
-        receivers
-            .into_iter()
-            .filter(|a| !told.contains(a))
-            .collect()
     }
 
-    /// Announces a change that the store has notified this gateway of, to all members.
-    pub(super) async fn broadcast_delta(&mut self) {
-        let versions = self.gateway.knowledge.versions();
-        let is_new = versions.directory > self.announced_version;
-        if !self.gateway.knowledge.is_watching() || self.membership.members().is_empty() {
-            return;
+    /// The changes after a version, in datagrams; only the versions when they are too many, and
+    /// receivers fetch them.
+    fn update_frames(&self, after: u64) -> Vec<LoadFrame> {
+        let update = self.gateway.knowledge.directory_since(after);
+        let is_known = after > 0 && update.base.is_some();
+        let parts = if is_known {
+            update.into_parts(MAX_UPDATE_BYTES)
+        } else {
+            Vec::new()
+        };
+        if parts.is_empty() || parts.len() > MAX_UPDATE_PARTS {
+            return vec![self.empty_frame()];
         }
-        let mut frame = self.empty_frame();
-        frame.delta = self.gateway.knowledge.delta().filter(|_| is_new);
-        self.announced_version = versions.directory;
-        let members = self.membership.members().values();
-        let to: Vec<SocketAddr> = members
-            .filter(|m| m.is_usable())
-            .map(|m| m.address)
-            .collect();
-        self.peers.send(&Frame::Load(frame), to.into_iter()).await;
+        let frame = |update| LoadFrame {
+            update: Some(update),
+            ..self.empty_frame()
+        };
+        parts.into_iter().map(frame).collect()
     }
 
     pub(super) fn empty_frame(&self) -> LoadFrame {
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -33,6 +33,8 @@
     is_own: bool,
     /// Those to request placements from, in order.
     order: Vec<SocketAddr>,
+    /// Those that keep this gateway informed.
+    informants: Vec<SocketAddr>,
     /// Those that did not reply in time, and until when they are skipped.
     skipped_until: BTreeMap<SocketAddr, Duration>,
 }
@@ -104,6 +106,23 @@
         let mut schedulers = self.schedulers();
         schedulers.is_own = is_own;
         schedulers.order = order.iter().map(|m| m.address).collect();
+        let nearest = order.first();
+        let elsewhere = order
+            .iter()
+            .find(|m| nearest.is_some_and(|n| n.domain != m.domain));
+        let informants = nearest.into_iter().chain(elsewhere.or(order.get(1)));
+        schedulers.informants = informants.map(|m| m.address).collect();
+    }
+
+    /// The scheduler that the load of this gateway goes to.
+    fn first_scheduler(&self) -> Option<SocketAddr> {
+        self.schedulers().order.first().copied()
+    }
+
+    /// The schedulers that keep this gateway informed: the nearest one, and one of another failure
+    /// domain, so that the loss of either delays nothing.
+    fn informants(&self) -> Vec<SocketAddr> {
+        self.schedulers().informants.clone()
     }
 
     fn schedulers(&self) -> MutexGuard<'_, Schedulers> {
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -1,39 +1,35 @@
 //! Whole knowledge of configuration and targets, fetched from a peer over TCP.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode};
-use serde::{Deserialize, Serialize};
 
 use crate::connection::call;
 use crate::gateway::Gateway;
-use crate::knowledge::{Change, Versions};
+use crate::knowledge::Versions;
+use crate::knowledge::directory::Update;
 use crate::responder::{self, Answer};
 
 /// Path of the configuration as written.
 const CONFIGURATION_PATH: &str = "/configuration";
-/// Path of the directory of targets.
+/// Path of the directory of targets; its query is the version that the peer has.
 const DIRECTORY_PATH: &str = "/directory";
 /// Time for a whole fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Directory {
-    version: u64,
-    changes: Vec<Change>,
-}
-
 /// Serves this gateway's knowledge to peers.
 ///
 /// # Errors
 /// When the address cannot be bound.
 pub async fn start(address: SocketAddr, gateway: Arc<Gateway>) -> anyhow::Result<()> {
-    responder::start(address, "peers", move |req| answer(&gateway, req)).await
+    let whole = Mutex::default();
+    let respond = move |req: &_| answer(&gateway, &whole, req);
+    responder::start(address, "peers", respond).await
 }
 
 /// Fetches from a peer what its `versions` are ahead in, in the background.
@@ -64,12 +60,15 @@
         gateway.knowledge.offer_configuration(&document, "peer");
     }
     if versions.directory > own.directory {
-        let bytes = get(gateway, peer, DIRECTORY_PATH).await?;
-        let directory: Directory = postcard::from_bytes(&bytes)?;
-        log::info!(peer:% = peer, version = directory.version; "directory taken from a peer");
-        gateway
-            .knowledge
-            .replace_directory(directory.changes, directory.version);
+        let path = format!("{DIRECTORY_PATH}?{}", own.directory);
+        let bytes = get(gateway, peer, &path).await?;
+        let update: Update = postcard::from_bytes(&bytes)?;
+        log::info!(
+            peer:% = peer, from = own.directory, to = update.version,
+            changes = update.changes.len(), is_whole = update.base.is_none();
+            "directory taken from a peer"
+        );
+        gateway.knowledge.apply_update(update);
     }
     Ok(())
 }
@@ -88,19 +87,45 @@
     Ok(bytes)
 }
 
-fn answer<B>(gateway: &Gateway, req: &Request<B>) -> Answer {
+fn answer<B>(gateway: &Gateway, whole: &Mutex<Encoded>, req: &Request<B>) -> Answer {
+    let after = req.uri().query().and_then(|v| v.parse().ok()).unwrap_or(0);
     match req.uri().path() {
         CONFIGURATION_PATH => Response::new(Full::new(gateway.knowledge.document())),
-        DIRECTORY_PATH => {
-            let (changes, version) = gateway.knowledge.directory();
-            match postcard::to_stdvec(&Directory { version, changes }) {
-                Ok(bytes) => Response::new(Full::new(bytes.into())),
-                Err(e) => {
-                    log::error!(error:% = e; "directory not encoded");
-                    responder::empty(StatusCode::INTERNAL_SERVER_ERROR)
-                }
+        DIRECTORY_PATH => match directory(gateway, whole, after) {
+            Ok(bytes) => Response::new(Full::new(bytes)),
+            Err(e) => {
+                log::error!(error:% = e; "directory not encoded");
+                responder::empty(StatusCode::INTERNAL_SERVER_ERROR)
             }
-        }
+        },
         _ => responder::empty(StatusCode::NOT_FOUND),
     }
 }
+
+/// `Encoded` is the whole directory of a version: after a restart of the fleet, all peers fetch it
+/// at once.
+#[derive(Default)]
+struct Encoded {
+    version: u64,
+    bytes: Bytes,
+}
+
+fn directory(
+    gateway: &Gateway,
+    whole: &Mutex<Encoded>,
+    after: u64,
+) -> Result<Bytes, postcard::Error> {
+    let encode = || postcard::to_stdvec(&gateway.knowledge.directory_since(after));
+    if after > 0 {
+        return Ok(encode()?.into());
+    }
+    let version = gateway.knowledge.versions().directory;
+    let mut whole = whole.lock().unwrap_or_else(PoisonError::into_inner);
+    if whole.version != version || whole.bytes.is_empty() {
+        *whole = Encoded {
+            version,
+            bytes: encode()?.into(),
+        };
+    }
+    Ok(whole.bytes.clone())
+}
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -194,8 +194,13 @@
                 .targets
                 .release(placement.address, connection, &head.headers);
         }
+        let point = if head.status == StatusCode::MISDIRECTED_REQUEST {
+            FailurePoint::Misdirected
+        } else {
+            FailurePoint::NotExecuted
+        };
         let cause = format!("the target did not run it, status {}", head.status);
-        return Err(Failure::new(FailurePoint::NotExecuted, cause));
+        return Err(Failure::new(point, cause));
     }
     // The connection is dropped with a foreign answer: nothing on it can be trusted.
     if !said.is_own {
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -230,7 +230,9 @@
         }
         match failure.point {
             FailurePoint::Connect => true,
-            FailurePoint::NotExecuted => self.gateway.spend_retry(&self.call.service),
+            FailurePoint::NotExecuted | FailurePoint::Misdirected => {
+                self.gateway.spend_retry(&self.call.service)
+            }
             _ => {
                 self.call.route.exchange.is_repeatable()
                     && self.runs < self.call.route.max_attempts
@@ -320,7 +322,8 @@
 /// What a failed attempt shows of its target.
 fn result_of(failure: &Failure) -> RunResult {
     match failure.point {
-        FailurePoint::Connect => RunResult::Unreachable,
+        // Where another target answers, this one is gone.
+        FailurePoint::Connect | FailurePoint::Misdirected => RunResult::Unreachable,
         _ => RunResult::Failed,
     }
 }
