--- a/samphiresill-ctl/src/main.rs
+++ b/samphiresill-ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod client;
+mod logs;
 mod show;
 
 use std::io::Read;
@@ -25,6 +26,10 @@
   drain TARGET               give a target nothing new; --undo takes that back
   apply FILE                 make the configuration as in FILE, JSON with comments;
                              shows the difference first; --prune deletes what FILE lacks
+  timeline FILE...           lines of log files of any processes in order of a common clock, of
+                             --request ID, --target NAME, or --from S --to S; --page HTML-FILE
+                             writes a page
+  explain ID FILE...         what became of a request and why, from log files
   hash-key                   read a key from standard input, print its hash
 
 KIND is customer, model, service or target.
@@ -68,6 +73,16 @@
         "name of the change, to repeat a call whose reply was lost",
         "ID",
     );
+    spec.optopt("", "request", "with timeline: id of a request", "ID");
+    spec.optopt("", "target", "with timeline: name of a target", "NAME");
+    spec.optopt(
+        "",
+        "from",
+        "with timeline: seconds from the first line",
+        "S",
+    );
+    spec.optopt("", "to", "with timeline: seconds from the first line", "S");
+    spec.optopt("", "page", "with timeline: write a page there", "HTML-FILE");
     spec.optopt(
         "",
         "expected",
@@ -106,6 +121,8 @@
     let words: Vec<&str> = given.free.iter().map(String::as_str).collect();
     let is_json = given.opt_present("json");
     match words[..] {
+        ["timeline", ref files @ ..] => logs::timeline(given, files),
+        ["explain", request, ref files @ ..] => logs::explain(request, files),
         ["hash-key"] => hash_key().map_err(Failure::from),
         ["status"] => {
             show::status(&connect(given)?.status()?, is_json);
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -43,12 +43,28 @@
     TimeUp,
 }
 
+/// `Placer` is who has placed a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Placer {
+    /// This gateway, which is a scheduler.
+    #[display("own")]
+    Own,
+    /// A scheduler that was asked.
+    #[display("scheduler")]
+    Scheduler,
+    /// This gateway, because no scheduler replied in time.
+    #[display("fallback")]
+    Fallback,
+}
+
 /// `Metrics` are the counters of one gateway.
 #[derive(Debug)]
 pub struct Metrics {
     exposition: Exposition,
     requests: Counter<u64>,
+    not_admitted: Counter<u64>,
     attempts_failed: Counter<u64>,
+    placements: Counter<u64>,
     first_event: Histogram<f64>,
     whole: Histogram<f64>,
     queueing: Histogram<f64>,
@@ -69,7 +85,9 @@
         Ok(Self {
             exposition,
             requests: meter.u64_counter("gateway_requests").build(),
+            not_admitted: meter.u64_counter("gateway_not_admitted").build(),
             attempts_failed: meter.u64_counter("gateway_attempts_failed").build(),
+            placements: meter.u64_counter("gateway_placements").build(),
             first_event: histogram(&meter, "gateway_first_event_seconds"),
             whole: histogram(&meter, "gateway_request_seconds"),
             queueing: histogram(&meter, "gateway_queueing_seconds"),
@@ -88,6 +106,18 @@
         self.whole.record(took.as_secs_f64(), &[kind]);
     }
 
+    /// Counts a request that was not admitted.
+    pub fn not_admitted(&self, status: StatusCode) {
+        let label = [KeyValue::new("status", i64::from(status.as_u16()))];
+        self.not_admitted.add(1, &label);
+    }
+
+    /// Counts a decision on where a request goes, or that it goes nowhere.
+    pub fn placed(&self, placer: Placer) {
+        let label = [KeyValue::new("by", placer.to_string())];
+        self.placements.add(1, &label);
+    }
+
     /// Counts a failed attempt at a target.
     pub fn attempt_failed(&self, point: &str) {
         let label = [KeyValue::new("point", point.to_owned())];
--- a/samphiresill-gateway/src/peers/placement.rs
+++ b/samphiresill-gateway/src/peers/placement.rs
@@ -12,6 +12,7 @@
 use super::Peers;
 use super::frame::{Frame, PlacementReplyFrame, PlacementRequestFrame};
 use crate::gateway::Gateway;
+use crate::metrics::Placer;
 
 /// Timeout of a placement request: several round trips, small against latency objectives.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(40);
@@ -30,6 +31,7 @@
         gateway: &Gateway,
         req: &PlacementRequest<'_>,
     ) -> Result<Placement, Refusal> {
+        let is_own = self.schedulers().is_own;
         for scheduler in self.schedulers_to_try(gateway.clock.monotonic()) {
             let run = gateway.account().next_run();
             let frame = PlacementRequestFrame::new(run, req);
@@ -40,12 +42,18 @@
                 schedulers.skipped_until.insert(scheduler, now + SKIP_TIME);
                 continue;
             };
+            gateway.metrics.placed(Placer::Scheduler);
             let now = gateway.clock.monotonic();
             if let Ok(placement) = &answer.decision {
                 gateway.account().adopt(placement, req, now);
             }
             return answer.decision;
         }
+        gateway.metrics.placed(if is_own {
+            Placer::Own
+        } else {
+            Placer::Fallback
+        });
         let now = gateway.clock.monotonic();
         let mut account = gateway.account();
         let run = account.next_run();
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode};
+use lz4_flex::block;
 
 use crate::connection::call;
 use crate::gateway::Gateway;
@@ -19,6 +20,9 @@
 const CONFIGURATION_PATH: &str = "/configuration";
 /// Path of the directory of targets; its query is the version that the peer has.
 const DIRECTORY_PATH: &str = "/directory";
+/// Bytes of a directory that are taken at most: some 200 for each of several times the planned
+/// 1,100 targets.
+const MAX_DIRECTORY_BYTES: usize = 4 * 1024 * 1024;
 /// Time for a whole fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -62,7 +66,7 @@
     if versions.directory > own.directory {
         let path = format!("{DIRECTORY_PATH}?{}", own.directory);
         let bytes = get(gateway, peer, &path).await?;
-        let update: Update = postcard::from_bytes(&bytes)?;
+        let update: Update = postcard::from_bytes(&decompress(&bytes)?)?;
         log::info!(
             peer:% = peer, from = own.directory, to = update.version,
             changes = update.changes.len(), is_whole = update.base.is_none();
@@ -87,6 +91,12 @@
     Ok(bytes)
 }
 
+fn decompress(bytes: &[u8]) -> anyhow::Result<Vec<u8>> {
+    let (size, compressed) = block::uncompressed_size(bytes)?;
+    anyhow::ensure!(size <= MAX_DIRECTORY_BYTES, "a directory of {size} bytes");
+    Ok(block::decompress(compressed, size)?)
+}
+
 fn answer<B>(gateway: &Gateway, whole: &Mutex<Encoded>, req: &Request<B>) -> Answer {
     let after = req.uri().query().and_then(|v| v.parse().ok()).unwrap_or(0);
     match req.uri().path() {
@@ -115,16 +125,20 @@
     whole: &Mutex<Encoded>,
     after: u64,
 ) -> Result<Bytes, postcard::Error> {
-    let encode = || postcard::to_stdvec(&gateway.knowledge.directory_since(after));
+    let encode = || {
+        let bytes = postcard::to_stdvec(&gateway.knowledge.directory_since(after))?;
+        // Entries are alike: a whole directory shrinks to a small part.
+        Ok::<_, postcard::Error>(Bytes::from(block::compress_prepend_size(&bytes)))
+    };
     if after > 0 {
-        return Ok(encode()?.into());
+        return encode();
     }
     let version = gateway.knowledge.versions().directory;
     let mut whole = whole.lock().unwrap_or_else(PoisonError::into_inner);
     if whole.version != version || whole.bytes.is_empty() {
         *whole = Encoded {
             version,
-            bytes: encode()?.into(),
+            bytes: encode()?,
         };
     }
     Ok(whole.bytes.clone())
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use samphiresill_core::name::CustomerName;
+use samphiresill_core::name::{CustomerName, RequestId};
 use samphiresill_core::routing::{CallerLimits, Exchange, Route, RoutingTable};
 use samphiresill_sched::fleet::overload::Overload;
 
@@ -34,15 +34,49 @@
 /// of which end within a second.
 const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
 
-/// `Refused` is an answer of the gateway itself, in place of a request that can be forwarded.
-type Refused = Box<Response<Answer>>;
+/// `NotAdmitted` is the gateway's own answer to a request that is not forwarded, and the reason.
+struct NotAdmitted {
+    response: Response<Answer>,
+    reason: &'static str,
+}
+
+/// Boxed, because requests that are admitted should not carry its size.
+type Refused = Box<NotAdmitted>;
+
+fn not_admitted(status: StatusCode, reason: &'static str) -> Refused {
+    let response = answer::local(status, reason);
+    Box::new(NotAdmitted { response, reason })
+}
+
+fn not_admitted_now(reason: &'static str, delay: Duration) -> Refused {
+    let response = answer::refusal(reason, delay);
+    Box::new(NotAdmitted { response, reason })
+}
+
+fn note_not_admitted(gateway: &Gateway, request: Option<&RequestId>, refused: &NotAdmitted) {
+    gateway.metrics.not_admitted(refused.response.status());
+    if gateway.lines.allows(log_budget::Kind::Refused) {
+        log::info!(
+            request = request.map(ToString::to_string), reason = refused.reason,
+            status = refused.response.status().as_u16(),
+            revision = gateway.knowledge.versions().revision,
+            free_bytes = gateway.bodies.free();
+            "not admitted"
+        );
+    }
+}
 
 /// Serves one request of a caller.
 pub async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Answer> {
     let started = gateway.clock.monotonic();
-    match read(&gateway, req, started).await {
+    let head = gateway.dialect.caller_head(req.headers());
+    let request = head.request.clone();
+    match read(&gateway, req, head, started).await {
         Ok(call) => serve(&gateway, call).await,
-        Err(refused) => *refused,
+        Err(refused) => {
+            note_not_admitted(&gateway, request.as_ref(), &refused);
+            refused.response
+        }
     }
 }
 
@@ -73,19 +107,17 @@
 async fn read(
     gateway: &Gateway,
     req: Request<Incoming>,
+    head: CallerHead,
     started: Duration,
 ) -> Result<Call, Refused> {
     let Some(table) = gateway.knowledge.table() else {
-        let refusal = answer::refusal("no configuration yet", NO_CONFIGURATION_RETRY);
-        return Err(Box::new(refusal));
+        let reason = "no configuration yet";
+        return Err(not_admitted_now(reason, NO_CONFIGURATION_RETRY));
     };
-    let head = gateway.dialect.caller_head(req.headers());
     let (route, customer) = admit(&table, &req, &head)?;
     let Some(request) = head.request else {
-        return Err(Box::new(answer::local(
-            StatusCode::BAD_REQUEST,
-            "the request has no id",
-        )));
+        let reason = "the request has no id";
+        return Err(not_admitted(StatusCode::BAD_REQUEST, reason));
     };
     let (parts, body) = req.into_parts();
     let body = read_body(gateway, table.limits, &parts.headers, body).await?;
@@ -123,20 +155,14 @@
     let host = req.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = host.or_else(|| req.uri().host()).unwrap_or_default();
     let Some(route) = table.route(host, req.uri().path()) else {
-        return Err(Box::new(answer::local(
-            StatusCode::NOT_FOUND,
-            "no such route",
-        )));
+        return Err(not_admitted(StatusCode::NOT_FOUND, "no such route"));
     };
     if route.is_open {
         return Ok((Arc::clone(route), None));
     }
     let customer = head.key.as_deref().and_then(|key| table.customer(key));
     if customer.is_none() {
-        return Err(Box::new(answer::local(
-            StatusCode::UNAUTHORIZED,
-            "unknown key",
-        )));
+        return Err(not_admitted(StatusCode::UNAUTHORIZED, "unknown key"));
     }
     Ok((Arc::clone(route), customer.cloned()))
 }
@@ -157,21 +183,18 @@
         return Err(too_large());
     }
     if !reservation.grow(expected) {
-        return Err(no_memory(gateway));
+        return Err(no_memory());
     }
-    let reading = read_pieces(gateway, body, limits.body_bytes, expected, reservation);
+    let reading = read_pieces(body, limits.body_bytes, expected, reservation);
     tokio::time::timeout(limits.idle_timeout, reading)
         .await
         .unwrap_or_else(|_| {
-            Err(Box::new(answer::local(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-            )))
+            let reason = "the body did not arrive in time";
+            Err(not_admitted(StatusCode::REQUEST_TIMEOUT, reason))
         })
 }
 
 async fn read_pieces(
-    gateway: &Gateway,
     mut body: Incoming,
     limit: usize,
     reserved: usize,
@@ -181,7 +204,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
             log::debug!(error:% = e; "body of a request broke off");
-            Box::new(answer::local(StatusCode::BAD_REQUEST, "the body broke off"))
+            not_admitted(StatusCode::BAD_REQUEST, "the body broke off")
         })?;
         let Ok(piece) = frame.into_data() else {
             continue;
@@ -191,7 +214,7 @@
             return Err(too_large());
         }
         if length > reserved && !reservation.grow(length - whole.len().max(reserved)) {
-            return Err(no_memory(gateway));
+            return Err(no_memory());
         }
         whole.extend_from_slice(&piece);
     }
@@ -199,17 +222,13 @@
 }
 
 fn too_large() -> Refused {
-    let reason = "the body is too large";
-    Box::new(answer::local(StatusCode::PAYLOAD_TOO_LARGE, reason))
+    not_admitted(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
 }
 
 /// The request has not run; the rest of its body is not read, so its connection ends.
-fn no_memory(gateway: &Gateway) -> Refused {
-    if gateway.lines.allows(log_budget::Kind::Refused) {
-        log::warn!(free_bytes = gateway.bodies.free(); "refused, no memory for another body");
-    }
-    let mut refusal = answer::refusal("too many long bodies at once", NO_MEMORY_RETRY);
+fn no_memory() -> Refused {
+    let mut refused = not_admitted_now("no memory for another body", NO_MEMORY_RETRY);
     let close = HeaderValue::from_static("close");
-    refusal.headers_mut().insert(CONNECTION, close);
-    Box::new(refusal)
+    refused.response.headers_mut().insert(CONNECTION, close);
+    refused
 }
--- a/samphiresill-telemetry/src/logging/mod.rs
+++ b/samphiresill-telemetry/src/logging/mod.rs
@@ -49,5 +49,5 @@
 
 /// The level of this project's lines, with that of libraries.
 fn spec(level: &str) -> String {
-    format!("{level}, tarpc=warn, hyper=warn")
+    format!("{level}, tarpc=warn, hyper=warn, opentelemetry=warn, opentelemetry_sdk=warn")
 }
--- a/samphiresill-tests/src/lib.rs
+++ b/samphiresill-tests/src/lib.rs
@@ -440,7 +440,11 @@
 
 /// An address that no other fleet of this test program is given; it lies below the ports that the
 /// system gives to outgoing connections.
-fn free_address() -> SocketAddr {
+///
+/// # Panics
+/// When a bound socket has no address.
+#[must_use]
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let base = 10_000 + (std::process::id() % 150) as u16 * 100;
     loop {
