Pass targets on as decoded entries, six schedulers in a large fleet

An entry as the platform writes it has some 250 bytes, of which a gateway uses 75; each load event goes to all 12 schedulers.

--- a/samphiresill-core/src/routing.rs
+++ b/samphiresill-core/src/routing.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::{CustomerName, DomainName, TargetName, WorkName};
 
 /// `Exchange` is what a route's requests allow.
@@ -183,7 +185,7 @@
 }
 
 /// `TargetState` says whether a target takes new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetState {
     /// It takes requests.
     Ready,
@@ -192,7 +194,7 @@
 }
 
 /// `TargetEntry` is one target as its directory lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Identity, new with most starts of the target.
     pub name: TargetName,
--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, Error};
 use hyper::{HeaderMap, StatusCode};
 use samphiresill_core::name::{CustomerName, RequestId, TargetName};
-use samphiresill_core::routing::{RoutingTable, TargetEntry};
+use samphiresill_core::routing::RoutingTable;
 use samphiresill_sched::fleet::work::Generation;
 
 /// `CallerHead` is what a caller says of its request beside method, path and body.
@@ -79,9 +79,4 @@
     /// # Errors
     /// When the document is not a configuration.
     fn routing_table(&self, document: &[u8]) -> Result<RoutingTable, DecodeError>;
-    /// Decodes the directory's entry of one target.
-    ///
-    /// # Errors
-    /// When the entry names no usable target.
-    fn target_entry(&self, name: &str, document: &[u8]) -> Result<TargetEntry, DecodeError>;
 }
--- a/samphiresill-gateway/src/knowledge/directory.rs
+++ b/samphiresill-gateway/src/knowledge/directory.rs
@@ -8,29 +8,31 @@
 
 use std::collections::BTreeMap;
 
-use bytes::Bytes;
+use samphiresill_core::name::TargetName;
+use samphiresill_core::routing::TargetEntry;
 use serde::{Deserialize, Serialize};
 
 /// Removed rows that are kept, so that routers that are behind learn of them: several hours of the
 /// planned 330 restarts and 4,900 changes a day.
 const MAX_REMOVED: usize = 2_000;
-/// Bytes of a change beside its name and document.
-const CHANGE_BYTES: usize = 16;
+/// Bytes of a change beside its names: version, address, slots, state and start, as encoded.
+const CHANGE_BYTES: usize = 40;
 
 /// `Change` is one change of the directory of targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// Name of the target.
-    pub name: String,
-    /// Its entry as written; nothing when it was removed.
-    pub document: Option<Bytes>,
+    pub name: TargetName,
+    /// Its entry; nothing when it was removed or names no usable target.
+    pub entry: Option<TargetEntry>,
     /// Version of the change.
     pub version: u64,
 }
 
 impl Change {
     fn bytes(&self) -> usize {
-        self.name.len() + self.document.as_ref().map_or(0, Bytes::len) + CHANGE_BYTES
+        let names = |e: &TargetEntry| e.name.len() + e.service.len() + e.domain.len();
+        self.name.len() + self.entry.as_ref().map_or(0, names) + CHANGE_BYTES
     }
 }
 
@@ -49,7 +51,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     version: u64,
-    rows: BTreeMap<String, Change>,
+    rows: BTreeMap<TargetName, Change>,
     /// Removed rows of this version or a lower one have been dropped.
     dropped: u64,
 }
@@ -74,15 +76,15 @@
 
     /// Takes the whole directory as of `version`: what it does not list was removed.
     pub fn replace(&mut self, listed: Vec<Change>, version: u64) {
-        let is_listed = |name: &String| listed.iter().any(|c| c.name == *name);
+        let is_listed = |name: &TargetName| listed.iter().any(|c| c.name == *name);
         let removed = self
             .rows
             .values()
-            .filter(|c| c.document.is_some() && c.version <= version && !is_listed(&c.name));
+            .filter(|c| c.entry.is_some() && c.version <= version && !is_listed(&c.name));
         let removed: Vec<Change> = removed
             .map(|c| Change {
                 name: c.name.clone(),
-                document: None,
+                entry: None,
                 // Routers that are behind learn of it although no row in the store says so.
                 version: version.max(c.version + 1),
             })
@@ -119,7 +121,7 @@
         let is_whole = after < self.dropped || after == 0;
         let is_sent = |c: &&Change| {
             if is_whole {
-                c.document.is_some()
+                c.entry.is_some()
             } else {
                 c.version > after
             }
@@ -132,7 +134,7 @@
     }
 
     fn drop_removed(&mut self) {
-        let removed = self.rows.values().filter(|c| c.document.is_none());
+        let removed = self.rows.values().filter(|c| c.entry.is_none());
         let mut versions: Vec<u64> = removed.map(|c| c.version).collect();
         if versions.len() <= MAX_REMOVED {
             return;
@@ -143,7 +145,7 @@
         self.dropped = self.dropped.max(newest_dropped);
         let dropped = self.dropped;
         self.rows
-            .retain(|_, c| c.document.is_some() || c.version > dropped);
+            .retain(|_, c| c.entry.is_some() || c.version > dropped);
     }
 }
 
--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -4,7 +4,6 @@
 
 pub mod directory;
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -38,8 +37,6 @@
     table: ArcSwapOption<RoutingTable>,
     document: Mutex<Bytes>,
     directory: Mutex<Directory>,
-    /// Entries of the directory, with the versions of their rows.
-    decoded: Mutex<BTreeMap<String, (u64, Option<TargetEntry>)>>,
     changed: watch::Sender<()>,
     watching: watch::Sender<Watching>,
 }
@@ -53,7 +50,6 @@
             table: ArcSwapOption::empty(),
             document: Mutex::default(),
             directory: Mutex::default(),
-            decoded: Mutex::default(),
             changed: watch::channel(()).0,
             watching: watch::channel(Watching::default()).0,
         }
@@ -169,28 +165,7 @@
     #[must_use]
     pub fn targets(&self) -> Vec<TargetEntry> {
         let directory = lock(&self.directory);
-        let mut decoded = lock(&self.decoded);
-        let mut known = std::mem::take(&mut *decoded);
-        for change in directory.rows() {
-            let Some(document) = &change.document else {
-                continue;
-            };
-            let entry = match known.remove(&change.name) {
-                Some((version, entry)) if version == change.version => entry,
-                _ => self.decode(&change.name, document),
-            };
-            decoded.insert(change.name.clone(), (change.version, entry));
-        }
-        decoded.values().filter_map(|(_, e)| e.clone()).collect()
-    }
-
-    fn decode(&self, name: &str, document: &Bytes) -> Option<TargetEntry> {
-        self.dialect
-            .target_entry(name, document)
-            .inspect_err(|e| {
-                log::warn!(target = name, error:% = e; "entry of a target not valid, not used");
-            })
-            .ok()
+        directory.rows().filter_map(|c| c.entry.clone()).collect()
     }
 
     /// The configuration as written.
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -9,7 +9,7 @@
 use samphiresill_core::name::{TargetName, VmName};
 use samphiresill_member::member::{Health, Incarnation, Member};
 use samphiresill_member::membership::{self, Membership, Message, Output};
-use samphiresill_member::roles::Roles;
+use samphiresill_member::roles::{self, Roles};
 
 use super::frame::Frame;
 use super::{Peers, placement};
@@ -22,10 +22,13 @@
 pub(super) const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Pause between sweeps of the account.
 const SWEEP: Duration = Duration::from_millis(500);
-/// Schedulers of a fleet at most; in a small fleet all gateways are schedulers.
-const MAX_SCHEDULERS: usize = 12;
-/// Gateways that watch the store for all.
-pub(super) const MAX_WATCHERS: usize = 3;
+/// Each change of the load goes to all schedulers, so that a large fleet has few: two for each of
+/// three failure domains.
+pub(super) const SIZES: roles::Sizes = roles::Sizes {
+    small_fleet: 12,
+    schedulers: 6,
+    watchers: 3,
+};
 /// Members in one datagram at most.
 const MAX_LISTED_MEMBERS: usize = 16;
 /// Timing of the membership: a dead gateway is detected within a second.
@@ -189,7 +192,7 @@
         let own = self.membership.own().clone();
         let members = self.membership.members().values();
         let all = members.chain(std::iter::once(&own));
-        self.roles = Roles::new(all, MAX_SCHEDULERS, MAX_WATCHERS);
+        self.roles = Roles::new(all, SIZES);
         let is_scheduler = self.roles.is_scheduler(&self.vm);
         self.peers
             .set_schedulers(is_scheduler, &self.roles.order_for(&own));
--- a/samphiresill-gateway/src/peers/watching.rs
+++ b/samphiresill-gateway/src/peers/watching.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::driver::{Driver, MAX_WATCHERS};
+use super::driver::{Driver, SIZES};
 
 /// Time without a heartbeat of a watcher after which the next scheduler in rank watches the store.
 const WATCHER_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -23,9 +23,9 @@
         // A gateway that is partitioned from all schedulers is one in its own view.
         let rank = self.roles.schedulers.iter().position(|m| m.vm == self.vm);
         let is_wanted = rank.is_some_and(|rank| {
-            let extra = WATCHER_TIMEOUT_PER_RANK * rank.saturating_sub(MAX_WATCHERS) as u32;
+            let extra = WATCHER_TIMEOUT_PER_RANK * rank.saturating_sub(SIZES.watchers) as u32;
             let silent_for = now.saturating_sub(self.watcher_seen_at);
-            rank < MAX_WATCHERS || silent_for > WATCHER_TIMEOUT + extra
+            rank < SIZES.watchers || silent_for > WATCHER_TIMEOUT + extra
         });
         self.gateway.knowledge.set_watching(is_wanted);
     }
--- a/samphiresill-member/src/roles.rs
+++ b/samphiresill-member/src/roles.rs
@@ -9,6 +9,17 @@
 
 use crate::member::Member;
 
+/// `Sizes` are how many routers have a role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sizes {
+    /// Routers up to which all are schedulers.
+    pub small_fleet: usize,
+    /// Schedulers of a larger fleet; one for each failure domain if these are more.
+    pub schedulers: usize,
+    /// Routers that watch the store.
+    pub watchers: usize,
+}
+
 /// `Roles` are the roles of the members.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roles {
@@ -22,11 +33,7 @@
     /// Assigns roles to the routers with the most processing power, spread evenly over the failure
     /// domains.
     #[must_use]
-    pub fn new<'a>(
-        members: impl Iterator<Item = &'a Member>,
-        max_schedulers: usize,
-        max_watchers: usize,
-    ) -> Self {
+    pub fn new<'a>(members: impl Iterator<Item = &'a Member>, sizes: Sizes) -> Self {
         let mut domains: BTreeMap<&DomainName, Vec<&Member>> = BTreeMap::new();
         for member in members.filter(|m| m.is_usable()) {
             domains.entry(&member.domain).or_default().push(member);
@@ -35,6 +42,12 @@
             // Strongest last, so that it is taken first.
             members.sort_by_key(|m| (m.strength, std::cmp::Reverse(m.address)));
         }
+        let routers = domains.values().map(Vec::len).sum();
+        let max_schedulers = if routers <= sizes.small_fleet {
+            routers
+        } else {
+            sizes.schedulers.max(domains.len())
+        };
         let mut schedulers = Vec::new();
         while schedulers.len() < max_schedulers {
             let before = schedulers.len();
@@ -46,7 +59,7 @@
             }
         }
         schedulers.truncate(max_schedulers);
-        let watchers = schedulers.iter().take(max_watchers).cloned().collect();
+        let watchers = schedulers.iter().take(sizes.watchers).cloned().collect();
         Self {
             schedulers,
             watchers,
