--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, StatusCode};
 use samphiresill_core::name::{CustomerName, RequestId, TargetName};
 use samphiresill_core::routing::RoutingTable;
-use samphiresill_sched::fleet::work::Generation;
+use samphiresill_sched::fleet::work::{Generation, PromptPart};
 
 /// `CallerHead` is what a caller says of its request beside method, path and body.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -74,6 +74,13 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> AnswerHead;
+    /// Path at which an engine lists the prompt parts that it caches.
+    fn cache_list_path(&self) -> &'static str;
+    /// Decodes an engine's list of cached prompt parts.
+    ///
+    /// # Errors
+    /// When the document is not such a list.
+    fn cache_list(&self, document: &[u8]) -> Result<Vec<PromptPart>, DecodeError>;
     /// Decodes the operators' configuration.
     ///
     /// # Errors
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -12,7 +12,7 @@
 use samphiresill_member::roles::{self, Roles};
 
 use super::frame::Frame;
-use super::{Peers, placement};
+use super::{Peers, placement, warm_up};
 use crate::gateway::Gateway;
 
 /// Pause between sendings while there are events: short against the time of a prompt, long
@@ -48,6 +48,8 @@
     pub(super) origin: u64,
     pub(super) membership: Membership,
     pub(super) roles: Roles,
+    /// Whether this gateway is one of the schedulers.
+    is_scheduler: bool,
     /// Origins of the known gateways, by address.
     pub(super) origins: BTreeMap<SocketAddr, u64>,
     /// Gateways that request placements here, and when they last sent a frame.
@@ -58,6 +60,8 @@
     pub(super) swept_at: Duration,
     pub(super) unusable: BTreeSet<TargetName>,
     pub(super) watcher_seen_at: Duration,
+    /// Last frame of a gateway that keeps this one informed.
+    pub(super) informant_seen_at: Duration,
     pub(super) announced_version: u64,
     pub(super) behind_since: Option<Duration>,
     pub(super) is_fetching: Arc<AtomicBool>,
@@ -97,6 +101,7 @@
             peers,
             origin,
             roles: Roles::default(),
+            is_scheduler: false,
             origins: BTreeMap::new(),
             clients: BTreeMap::new(),
             started: now,
@@ -105,6 +110,7 @@
             swept_at: now,
             unusable: BTreeSet::new(),
             watcher_seen_at: now,
+            informant_seen_at: now,
             announced_version: 0,
             behind_since: None,
             is_fetching: Arc::default(),
@@ -192,8 +198,16 @@
         let own = self.membership.own().clone();
         let members = self.membership.members().values();
         let all = members.chain(std::iter::once(&own));
-        self.roles = Roles::new(all, SIZES);
+        let roles = Roles::new(all, SIZES);
+        let is_new = roles != self.roles;
+        self.roles = roles;
+        let was_scheduler = self.is_scheduler;
         let is_scheduler = self.roles.is_scheduler(&self.vm);
+        self.is_scheduler = is_scheduler;
+        if is_scheduler && !was_scheduler {
+            let (gateway, peers) = (Arc::clone(&self.gateway), Arc::clone(&self.peers));
+            tokio::spawn(warm_up::run(gateway, peers));
+        }
         self.peers
             .set_schedulers(is_scheduler, &self.roles.order_for(&own));
         self.drop_dead_peers();
@@ -201,10 +215,12 @@
         // A dead one may still send, if only the network to it is partitioned.
         self.gateway
             .set_routers(self.membership.members().len().max(usable));
-        log::info!(
-            members = usable, schedulers = self.roles.schedulers.len(), is_scheduler;
-            "membership changed"
-        );
+        if is_new {
+            log::info!(
+                members = usable, schedulers = self.roles.schedulers.len(), is_scheduler;
+                "membership changed"
+            );
+        }
     }
 
     /// Ends the runs of dead gateways.
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -33,6 +33,9 @@
         if frame.is_watching {
             self.watcher_seen_at = now;
         }
+        if self.peers.informants().contains(&from) {
+            self.informant_seen_at = now;
+        }
         if frame.is_for_relay {
             self.clients.insert(from, now);
         }
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -11,10 +11,12 @@
 mod load;
 pub mod placement;
 pub mod snapshot;
+mod warm_up;
 mod watching;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -47,6 +49,8 @@
     schedulers: Mutex<Schedulers>,
     pending: Mutex<BTreeMap<u32, oneshot::Sender<PlacementReplyFrame>>>,
     leaving: watch::Sender<bool>,
+    /// Whether this gateway knows what engines cache, as far as anyone does.
+    is_warm: AtomicBool,
 }
 
 impl Peers {
@@ -68,6 +72,7 @@
             schedulers: Mutex::new(schedulers),
             pending: Mutex::default(),
             leaving: watch::channel(false).0,
+            is_warm: AtomicBool::new(false),
         })
     }
 
@@ -114,6 +119,13 @@
         schedulers.informants = informants.map(|m| m.address).collect();
     }
 
+    /// The schedulers other than this gateway.
+    fn other_schedulers(&self) -> Vec<SocketAddr> {
+        let schedulers = self.schedulers();
+        let others = schedulers.order.iter().filter(|a| **a != self.own);
+        others.copied().collect()
+    }
+
     /// The scheduler that the load of this gateway goes to.
     fn first_scheduler(&self) -> Option<SocketAddr> {
         self.schedulers().order.first().copied()
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -9,7 +9,9 @@
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode};
 use lz4_flex::block;
+use serde::Serialize;
 
+use super::warm_up::Caches;
 use crate::connection::call;
 use crate::gateway::Gateway;
 use crate::knowledge::Versions;
@@ -20,9 +22,10 @@
 const CONFIGURATION_PATH: &str = "/configuration";
 /// Path of the directory of targets; its query is the version that the peer has.
 const DIRECTORY_PATH: &str = "/directory";
-/// Bytes of a directory that are taken at most: some 200 for each of several times the planned
-/// 1,100 targets.
-const MAX_DIRECTORY_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes that are taken from a peer at most: some kB for each of the planned 1,100 targets.
+const MAX_FETCHED_BYTES: usize = 8 * 1024 * 1024;
+/// Path of what engines cache.
+const CACHES_PATH: &str = "/caches";
 /// Time for a whole fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -91,9 +94,46 @@
     Ok(bytes)
 }
 
+/// What engines cache, as another scheduler knows it; nothing when it has just started itself.
+///
+/// # Errors
+/// When the peer does not answer.
+pub(super) async fn caches(gateway: &Gateway, peer: SocketAddr) -> anyhow::Result<Option<Caches>> {
+    let called = call::call(
+        &gateway.calls,
+        peer,
+        Method::GET,
+        CACHES_PATH,
+        Bytes::new(),
+        FETCH_TIMEOUT,
+    );
+    let (status, bytes) = called.await?;
+    if status == StatusCode::NO_CONTENT {
+        return Ok(None);
+    }
+    anyhow::ensure!(status == StatusCode::OK, "status {status}");
+    Ok(Some(postcard::from_bytes(&decompress(&bytes)?)?))
+}
+
+/// Encodes and compresses: what peers fetch consists of many similar entries.
+fn compress(value: &impl Serialize) -> Result<Bytes, postcard::Error> {
+    let bytes = postcard::to_stdvec(value)?;
+    Ok(block::compress_prepend_size(&bytes).into())
+}
+
+fn answered(what: &str, encoded: Result<Bytes, postcard::Error>) -> Answer {
+    match encoded {
+        Ok(bytes) => Response::new(Full::new(bytes)),
+        Err(e) => {
+            log::error!(what, error:% = e; "answer to a peer not encoded");
+            responder::empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 fn decompress(bytes: &[u8]) -> anyhow::Result<Vec<u8>> {
     let (size, compressed) = block::uncompressed_size(bytes)?;
-    anyhow::ensure!(size <= MAX_DIRECTORY_BYTES, "a directory of {size} bytes");
+    anyhow::ensure!(size <= MAX_FETCHED_BYTES, "{size} bytes are too many");
     Ok(block::decompress(compressed, size)?)
 }
 
@@ -101,13 +141,11 @@
     let after = req.uri().query().and_then(|v| v.parse().ok()).unwrap_or(0);
     match req.uri().path() {
         CONFIGURATION_PATH => Response::new(Full::new(gateway.knowledge.document())),
-        DIRECTORY_PATH => match directory(gateway, whole, after) {
-            Ok(bytes) => Response::new(Full::new(bytes)),
-            Err(e) => {
-                log::error!(error:% = e; "directory not encoded");
-                responder::empty(StatusCode::INTERNAL_SERVER_ERROR)
-            }
-        },
+        DIRECTORY_PATH => answered("directory", directory(gateway, whole, after)),
+        CACHES_PATH if gateway.peers.is_warm.load(Ordering::Acquire) => {
+            answered("caches", compress(&gateway.account().cached_parts()))
+        }
+        CACHES_PATH => responder::empty(StatusCode::NO_CONTENT),
         _ => responder::empty(StatusCode::NOT_FOUND),
     }
 }
@@ -125,11 +163,7 @@
     whole: &Mutex<Encoded>,
     after: u64,
 ) -> Result<Bytes, postcard::Error> {
-    let encode = || {
-        let bytes = postcard::to_stdvec(&gateway.knowledge.directory_since(after))?;
-        // Entries are alike: a whole directory shrinks to a small part.
-        Ok::<_, postcard::Error>(Bytes::from(block::compress_prepend_size(&bytes)))
-    };
+    let encode = || compress(&gateway.knowledge.directory_since(after));
     if after > 0 {
         return encode();
     }
--- a/samphiresill-sched/src/fleet/account/mod.rs
+++ b/samphiresill-sched/src/fleet/account/mod.rs
@@ -22,12 +22,14 @@
 use super::queueing::{Queue, QueueLimit};
 use super::shares::Shares;
 use super::token_interval::TokenIntervalTarget;
-use super::work::{PlacementRequest, RunId};
+use super::work::{PlacementRequest, PromptPart, RunId};
 
 /// Time for which a retry of a refused request is recognised.
 const RETRY_MEMORY: Duration = Duration::from_secs(10);
 /// Refused requests that are recorded at most.
 const MAX_REFUSED: usize = 4_096;
+/// Found prompt parts in one event, so that it fits a datagram.
+const MAX_FOUND_PARTS: usize = 80;
 /// Age below which a run may be missing from its origin's list: its placement may be in flight.
 const LIST_LAG: Duration = Duration::from_millis(600);
 /// Age at which a run is taken as ended; longer than any route lets one last.
@@ -170,6 +172,50 @@
         self.shares.ratio(customer, now)
     }
 
+    /// Engines of the fleet, as names and addresses.
+    #[must_use]
+    pub fn engines(&self) -> Vec<(TargetName, SocketAddr)> {
+        let engines = self
+            .targets
+            .iter()
+            .filter(|(_, t)| matches!(t.load, Load::Engine(_)));
+        engines
+            .map(|(name, t)| (name.clone(), t.entry.address))
+            .collect()
+    }
+
+    /// Prompt parts that engines cache, as far as this router knows.
+    #[must_use]
+    pub fn cached_parts(&self) -> Vec<(TargetName, Vec<PromptPart>)> {
+        let engines = self.targets.iter().filter_map(|(name, t)| match &t.load {
+            Load::Engine(load) => Some((name.clone(), load.cached_parts())),
+            Load::Plain(_) => None,
+        });
+        engines.filter(|(_, parts)| !parts.is_empty()).collect()
+    }
+
+    /// Takes in prompt parts that were found in the cache of an engine.
+    pub fn add_found(&mut self, target: &TargetName, parts: &[PromptPart]) {
+        if let Some(Target {
+            load: Load::Engine(load),
+            ..
+        }) = self.targets.get_mut(target)
+        {
+            load.add_found(parts);
+        }
+    }
+
+    /// The same for parts that this router has found, which it tells the others.
+    pub fn publish_found(&mut self, target: &TargetName, parts: &[PromptPart], now: Duration) {
+        for parts in parts.chunks(MAX_FOUND_PARTS) {
+            let event = Event::Found {
+                target: target.clone(),
+                parts: parts.to_vec(),
+            };
+            self.publish(event, now);
+        }
+    }
+
     /// Events for the other routers since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.outbox)
@@ -321,6 +367,7 @@
                 }
                 self.remember_refused(*fingerprint, now);
             }
+            Event::Found { target, parts } => self.add_found(target, parts),
             Event::Stalled { target } => {
                 if let Some(target) = self.targets.get_mut(target) {
                     target.health.reported_stalled(now);
--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::prefix::PrefixCache;
-use super::work::{Generation, RunId};
+use super::work::{Generation, PromptPart, RunId};
 
 /// Rate that is assumed until one has been learnt, in prompt tokens a millisecond.
 const FIRST_RATE: f64 = 48.0;
@@ -164,6 +164,17 @@
         self.prefixes.cached_tokens(&generation.parts)
     }
 
+    /// Prompt parts that are cached there, the most recently used first.
+    #[must_use]
+    pub fn cached_parts(&self) -> Vec<PromptPart> {
+        self.prefixes.parts()
+    }
+
+    /// Takes in prompt parts that were found cached there.
+    pub fn add_found(&mut self, parts: &[PromptPart]) {
+        self.prefixes.add_found(parts, self.spare_memory());
+    }
+
     /// Tokens at the start of a prompt that another engine can copy from there now.
     #[must_use]
     pub fn copyable_tokens(&self, generation: &Generation, now: Duration) -> u32 {
@@ -224,8 +235,7 @@
             self.load_tokens = self.load_tokens(now) + f64::from(prefill);
             self.load_at = now;
         }
-        // Prompts of running requests are among the cached parts; generated tokens are not.
-        let spare = u64::from(self.spec.memory_tokens).saturating_sub(self.output_tokens);
+        let spare = self.spare_memory();
         let ready_at = now + self.wait(now) + self.time_for(u64::from(LATENCY_TOKENS));
         self.prefixes.touch(&generation.parts, spare, ready_at, now);
     }
@@ -313,6 +323,12 @@
         1.0 / steps_per_ms
     }
 
+    /// Memory for prompts, in tokens: those of running requests are among the cached parts, generated
+    /// tokens are not.
+    fn spare_memory(&self) -> u64 {
+        u64::from(self.spec.memory_tokens).saturating_sub(self.output_tokens)
+    }
+
     fn copy_time(&self, tokens: u32) -> Duration {
         if tokens == 0 {
             return Duration::ZERO;
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -3,7 +3,7 @@
 use samphiresill_core::name::{CustomerName, TargetName};
 use serde::{Deserialize, Serialize};
 
-use super::work::{Generation, RunId};
+use super::work::{Generation, PromptPart, RunId};
 
 /// `RunResult` is what a run shows about its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,6 +63,13 @@
         /// What it needs, in weighted tokens.
         cost: u64,
     },
+    /// Prompt parts were found in the cache of an engine.
+    Found {
+        /// The engine.
+        target: TargetName,
+        /// The parts.
+        parts: Vec<PromptPart>,
+    },
     /// Requests have waited for a byte of a target for longer than of a working one.
     Stalled {
         /// The target.
--- a/samphiresill-sched/src/fleet/prefix.rs
+++ b/samphiresill-sched/src/fleet/prefix.rs
@@ -69,6 +69,36 @@
         }
     }
 
+    /// The parts, the most recently used first.
+    #[must_use]
+    pub fn parts(&self) -> Vec<PromptPart> {
+        let mut entries: Vec<(&u64, &Entry)> = self.entries.iter().collect();
+        entries.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.used_at));
+        let part = |(id, entry): (&u64, &Entry)| PromptPart {
+            id: *id,
+            tokens: entry.tokens,
+        };
+        entries.into_iter().map(part).collect()
+    }
+
+    /// Adds parts that were found there, within `capacity` tokens; those that are known stay as they
+    /// are, and found ones count as older than all of them.
+    pub fn add_found(&mut self, parts: &[PromptPart], capacity: u64) {
+        for part in parts {
+            let is_over = self.tokens + u64::from(part.tokens) > capacity;
+            if is_over || self.entries.contains_key(&part.id) {
+                continue;
+            }
+            self.tokens += u64::from(part.tokens);
+            let entry = Entry {
+                tokens: part.tokens,
+                used_at: Duration::ZERO,
+                ready_at: Duration::ZERO,
+            };
+            self.entries.insert(part.id, entry);
+        }
+    }
+
     fn evict_oldest(&mut self) {
         let oldest = self.entries.iter().min_by_key(|(_, k)| k.used_at);
         if let Some((id, _)) = oldest.map(|(id, k)| (*id, *k))
