--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -23,6 +23,9 @@
 /// Time after which the engines are asked, because no scheduler knows the caches; as long as
 /// membership takes to converge.
 const ASK_ENGINES_AFTER: Duration = Duration::from_millis(700);
+/// Time after asking engines in which the other schedulers that have just started ask theirs: until
+/// then this one knows only a part.
+const OTHERS_ASK: Duration = Duration::from_secs(1);
 /// Time for an engine to list its cache.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -44,6 +47,7 @@
         let waited = gateway.clock.monotonic().saturating_sub(began);
         if is_known && waited > ASK_ENGINES_AFTER {
             ask_engines(&gateway, &peers).await;
+            tokio::time::sleep(OTHERS_ASK).await;
             break;
         }
     }
