--- a/samphiresill-gateway/src/connection/call.rs
+++ b/samphiresill-gateway/src/connection/call.rs
@@ -1,12 +1,12 @@
-//! Calls of the store and of peers: one request, one whole answer.
+//! Calls of the store, of peers and of targets: one request, one whole answer.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Method, Request, StatusCode};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
 
 use super::Error;
 use super::pool::Pool;
@@ -17,20 +17,17 @@
 /// Time for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Sends a request and reads its whole answer within `timeout`.
+/// Gets what is at a path, whole and within `timeout`.
 ///
 /// # Errors
-/// As for a [`super::Connection`]; `Timeout` when the answer is not whole in time, after which
-/// the call may still take effect.
-pub async fn call(
+/// As for a [`super::Connection`]; `Timeout` when the answer is not whole in time.
+pub async fn get(
     pool: &Pool,
     address: SocketAddr,
-    method: Method,
     path: &str,
-    body: Bytes,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), Error> {
-    let exchange = exchange(pool, address, method, path, body);
+    let exchange = exchange(pool, address, path);
     tokio::time::timeout(timeout, exchange)
         .await
         .unwrap_or(Err(Error::Timeout))
@@ -39,16 +36,12 @@
 async fn exchange(
     pool: &Pool,
     address: SocketAddr,
-    method: Method,
     path: &str,
-    body: Bytes,
 ) -> Result<(StatusCode, Bytes), Error> {
     let req = Request::builder()
-        .method(method)
         .uri(path)
         .header(HOST, address.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .body(Full::new(body))
+        .body(Full::default())
         .expect("invariant: paths of calls are valid");
     let mut connection = pool.acquire(address, CONNECT_TIMEOUT).await?;
     let (head, body) = connection.send(req).await?.into_parts();
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use lz4_flex::block;
 use serde::Serialize;
 
@@ -81,15 +81,7 @@
 }
 
 async fn get(gateway: &Gateway, peer: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
-    let called = call::call(
-        &gateway.calls,
-        peer,
-        Method::GET,
-        path,
-        Bytes::new(),
-        FETCH_TIMEOUT,
-    );
-    let (status, bytes) = called.await?;
+    let (status, bytes) = call::get(&gateway.calls, peer, path, FETCH_TIMEOUT).await?;
     anyhow::ensure!(status == StatusCode::OK, "{path}: status {status}");
     Ok(bytes)
 }
@@ -99,15 +91,7 @@
 /// # Errors
 /// When the peer does not answer.
 pub(super) async fn caches(gateway: &Gateway, peer: SocketAddr) -> anyhow::Result<Option<Caches>> {
-    let called = call::call(
-        &gateway.calls,
-        peer,
-        Method::GET,
-        CACHES_PATH,
-        Bytes::new(),
-        FETCH_TIMEOUT,
-    );
-    let (status, bytes) = called.await?;
+    let (status, bytes) = call::get(&gateway.calls, peer, CACHES_PATH, FETCH_TIMEOUT).await?;
     if status == StatusCode::NO_CONTENT {
         return Ok(None);
     }
--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -9,8 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use samphiresill_core::name::{KeyHash, TargetName};
 use samphiresill_sched::fleet::work::PromptPart;
 
@@ -110,15 +109,7 @@
 
 async fn list(gateway: &Gateway, engine: SocketAddr) -> anyhow::Result<Vec<PromptPart>> {
     let path = gateway.dialect.cache_list_path();
-    let called = call::call(
-        &gateway.targets,
-        engine,
-        Method::GET,
-        path,
-        Bytes::new(),
-        LIST_TIMEOUT,
-    );
-    let (status, bytes) = called.await?;
+    let (status, bytes) = call::get(&gateway.targets, engine, path, LIST_TIMEOUT).await?;
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
     Ok(gateway.dialect.cache_list(&bytes)?)
 }
