Leave a slow VM time to exit at the end of a stop; divide idle connections anew when the fleet changes

Idle connections to targets were divided among the routers only when the directory changed. Test: idle connections beyond what a target allows are closed. The margin has no test of its own.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -29,8 +29,9 @@
 /// Time from the signal to stop until the balancer sends no new connections: two failed checks,
 /// a second apart, and a margin.
 const LEAVE_ROTATION: Duration = Duration::from_millis(2_600);
-/// Margin before the process would be killed.
-const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// Margin before the process would be killed: a VM with a tenth of a core took more than 240 ms to
+/// close its connections and exit.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Pause between looks at what is still at work during a stop.
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// Pause between sweeps of idle connections.
@@ -208,8 +209,20 @@
     /// Takes the number of routers in the fleet, which share its allowance of retries and the
     /// connections that targets accept.
     pub fn set_routers(&self, routers: usize) {
-        self.routers.store(routers.max(1), Ordering::Relaxed);
-        self.size_retries();
+        let routers = routers.max(1);
+        if self.routers.swap(routers, Ordering::Relaxed) != routers {
+            self.size_retries();
+            self.size_idle(&self.knowledge.targets());
+        }
+    }
+
+    /// Divides the idle connections that targets allow among the routers.
+    fn size_idle(&self, targets: &[TargetEntry]) {
+        if let Some(table) = self.knowledge.table() {
+            let routers = self.routers.load(Ordering::Relaxed);
+            let max_idle = max_idle(targets, &table, routers);
+            self.targets.set_max_idle(max_idle);
+        }
     }
 
     fn size_retries(&self) {
@@ -282,9 +295,7 @@
                 log_targets(&mut listed, &targets);
                 self.account().set_targets(&targets, &table);
                 self.metrics.knowledge(table.revision, targets.len());
-                let routers = self.routers.load(Ordering::Relaxed);
-                self.targets
-                    .set_max_idle(max_idle(&targets, &table, routers));
+                self.size_idle(&targets);
             }
             if changes.changed().await.is_err() {
                 return;
--- a/samphiresill-gateway/src/tests/mod.rs
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -4,4 +4,5 @@
 mod directory;
 mod events;
 mod frames;
+mod pool;
 mod settings;
--- /dev/null
+++ b/samphiresill-gateway/src/tests/pool.rs
@@ -0,0 +1,54 @@
+//! Idle connections that a target allows.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use samphiresill_core::clock::SystemClock;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+use crate::connection::Connection;
+use crate::connection::pool::Pool;
+
+/// Time for a new connection, and for the end of one to be seen.
+const MOMENT: Duration = Duration::from_millis(300);
+
+#[tokio::test]
+async fn connections_beyond_what_a_target_allows_are_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let closed = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&closed);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counted = Arc::clone(&counted);
+            tokio::spawn(async move {
+                // An end and a reset are the same here.
+                let _ = stream.read(&mut [0; 1]).await;
+                counted.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+    });
+    let pool = Pool::new(Arc::new(SystemClock::new()));
+    pool.set_max_idle(BTreeMap::from([(address, 2)]));
+    let mut connections = Vec::new();
+    for _ in 0..5 {
+        connections.push(
+            Connection::open(address, MOMENT)
+                .await
+                .expect("a connection"),
+        );
+    }
+    for connection in connections {
+        pool.release(address, connection, &HeaderMap::new());
+    }
+    tokio::time::sleep(MOMENT).await;
+    assert_eq!(closed.load(Ordering::SeqCst), 3);
+    // A target that is gone from the directory has no idle connection.
+    pool.set_max_idle(BTreeMap::new());
+    tokio::time::sleep(MOMENT).await;
+    assert_eq!(closed.load(Ordering::SeqCst), 5);
+}
