--- a/samphiresill-gateway/src/knowledge/directory.rs
+++ b/samphiresill-gateway/src/knowledge/directory.rs
@@ -3,7 +3,7 @@
 //! Answers the load pattern in which many targets change at once before many routers: a router
 //! that is behind is sent the rows that changed since, not the whole directory.
 //!
-//! Invariants: the directory's version never falls; a row is replaced only by one of a higher
+//! Invariants: the directory's version never falls, and all changes up to it are known; a row is replaced only by one of a higher
 //! version; at most [`MAX_REMOVED`] removed rows are kept.
 
 use std::collections::BTreeMap;
@@ -57,7 +57,7 @@
 }
 
 impl Directory {
-    /// Version of the newest change.
+    /// Version up to which all changes are known; single rows can be newer.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.version
@@ -68,10 +68,12 @@
         self.rows.values()
     }
 
-    /// Takes changes, each unless a newer one is known for its target.
-    pub fn apply(&mut self, changes: Vec<Change>) {
+    /// Takes changes, each unless a newer one is known for its target. All changes up to the version
+    /// `complete_to` are known then.
+    pub fn apply(&mut self, changes: Vec<Change>, complete_to: u64) {
         // A row that is not known was removed, and dropped, if its version is not above that.
         self.merge(changes, self.dropped);
+        self.version = self.version.max(complete_to);
     }
 
     /// Takes the whole directory as of `version`: what it does not list was removed.
@@ -89,26 +91,34 @@
                 version: version.max(c.version + 1),
             })
             .collect();
+        // Gateways compare the versions of rows: that of the store rises without a change too.
+        let newest = listed.iter().chain(&removed).map(|c| c.version).max();
         self.merge(listed, 0);
         self.merge(removed, 0);
+        self.version = self.version.max(newest.unwrap_or(0));
     }
 
     fn merge(&mut self, changes: Vec<Change>, known_to: u64) {
         for change in changes {
             let known = self.rows.get(&change.name).map_or(known_to, |c| c.version);
             if change.version > known {
-                self.version = self.version.max(change.version);
                 self.rows.insert(change.name.clone(), change);
             }
         }
         self.drop_removed();
     }
 
-    /// Takes an update of another router; false when changes before it are missing here.
+    /// Takes an update of another router; false when it brings nothing new, or changes before it are
+    /// missing here.
     pub fn update(&mut self, update: Update) -> bool {
+        let is_new = |c: &Change| self.rows.get(&c.name).is_none_or(|k| c.version > k.version);
+        if update.version <= self.version && !update.changes.iter().any(is_new) {
+            return false;
+        }
         match update.base {
+            None if update.version < self.version => return false,
             None => self.replace(update.changes, update.version),
-            Some(base) if base <= self.version => self.apply(update.changes),
+            Some(base) if base <= self.version => self.apply(update.changes, update.version),
             Some(_) => return false,
         }
         self.version = self.version.max(update.version);
@@ -160,7 +170,8 @@
         for change in self.changes {
             let last = parts.last().map(|p| p.version);
             size += change.bytes();
-            if size > bytes && last.is_some_and(|v| v < change.version) || last.is_none() {
+            let is_next = last.is_some_and(|v| v < change.version);
+            if size > bytes && is_next || last.is_none() {
                 size = change.bytes();
                 parts.push(Self {
                     base: last.or(self.base),
@@ -169,7 +180,8 @@
                 });
             }
             if let Some(part) = parts.last_mut() {
-                part.version = change.version;
+                // Rows can be newer than the version that all is known of.
+                part.version = change.version.min(self.version);
                 part.changes.push(change);
             }
         }
--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -4,7 +4,9 @@
 
 pub mod directory;
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
@@ -15,6 +17,9 @@
 use self::directory::{Change, Directory, Update};
 use crate::dialect::Dialect;
 
+/// Age of a peer's heartbeat up to which it counts: three of them.
+const PEER_WATCHING: Duration = Duration::from_millis(1_200);
+
 /// `Versions` are the versions of a router's knowledge.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
@@ -39,6 +44,8 @@
     directory: Mutex<Directory>,
     changed: watch::Sender<()>,
     watching: watch::Sender<Watching>,
+    /// When a peer was last heard that the store answers; monotonic milliseconds, 0 for never.
+    peer_watching_at_ms: AtomicU64,
 }
 
 impl Knowledge {
@@ -52,6 +59,7 @@
             directory: Mutex::default(),
             changed: watch::channel(()).0,
             watching: watch::channel(Watching::default()).0,
+            peer_watching_at_ms: AtomicU64::new(0),
         }
     }
 
@@ -77,6 +85,19 @@
         });
     }
 
+    /// Notes a peer that watches the store, and that the store answers.
+    pub fn note_peer_watching(&self, now: Duration) {
+        self.peer_watching_at_ms
+            .store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Whether the store has lately answered a peer: a failure of it is then not an outage.
+    #[must_use]
+    pub fn is_peer_watching(&self, now: Duration) -> bool {
+        let at = Duration::from_millis(self.peer_watching_at_ms.load(Ordering::Relaxed));
+        !at.is_zero() && now.saturating_sub(at) < PEER_WATCHING
+    }
+
     /// Whether this gateway watches the store, and the store answers it.
     #[must_use]
     pub fn is_watching(&self) -> bool {
@@ -132,9 +153,9 @@
         self.changed.send_replace(());
     }
 
-    /// Applies changes of the directory from the store.
-    pub fn apply_changes(&self, changes: Vec<Change>) {
-        lock(&self.directory).apply(changes);
+    /// Applies changes of the directory from the store; all up to `complete_to` are known then.
+    pub fn apply_changes(&self, changes: Vec<Change>, complete_to: u64) {
+        lock(&self.directory).apply(changes, complete_to);
         self.changed.send_replace(());
     }
 
@@ -144,15 +165,11 @@
         self.changed.send_replace(());
     }
 
-    /// Applies what a peer sent; ignored when changes before it are missing.
+    /// Applies what a peer sent; ignored when it brings nothing new or changes before it are missing.
     pub fn apply_update(&self, update: Update) {
-        let mut directory = lock(&self.directory);
-        let is_newer = update.version > directory.version();
-        if !is_newer || !directory.update(update) {
-            return;
+        if lock(&self.directory).update(update) {
+            self.changed.send_replace(());
         }
-        drop(directory);
-        self.changed.send_replace(());
     }
 
     /// What a router whose directory has version `after` lacks.
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -32,6 +32,7 @@
         let before = self.origins.insert(from, frame.origin);
         if frame.is_watching {
             self.watcher_seen_at = now;
+            self.gateway.knowledge.note_peer_watching(now);
         }
         if self.peers.informants().contains(&from) {
             self.informant_seen_at = now;
