Name what was added by the field's terms

No decision changes: the dissemination tree has parents, a cache's contents are loaded, removals are deferred, removed rows are tombstones, requests are active; log lines and comments follow.

--- a/samphiresill-attempt/src/failure.rs
+++ b/samphiresill-attempt/src/failure.rs
@@ -102,20 +102,19 @@
     /// Whether a target may have run the request although the attempt failed there.
     #[must_use]
     pub fn may_have_run(self) -> bool {
-        !self.is_harmless() && self != Self::RefusedByTarget
+        !self.is_unexecuted() && self != Self::RefusedByTarget
     }
 
-    /// Whether it is certain that no target has seen the request, or that each states that it has
-    /// not run it.
-    fn is_harmless(self) -> bool {
+    /// Whether it is certain that no target has run the request.
+    fn is_unexecuted(self) -> bool {
         matches!(self, Self::Connect | Self::NotExecuted | Self::Misdirected)
     }
 }
 
 fn verdict_once(point: FailurePoint, may_try_again: bool) -> Verdict {
     match (point, may_try_again) {
-        (point, true) if point.is_harmless() => Verdict::Retry,
-        (point, false) if point.is_harmless() => Verdict::Tell(Refusal::TargetUnavailable),
+        (point, true) if point.is_unexecuted() => Verdict::Retry,
+        (point, false) if point.is_unexecuted() => Verdict::Tell(Refusal::TargetUnavailable),
         (FailurePoint::RefusedByTarget, _) => Verdict::PassOn,
         _ => Verdict::Tell(Refusal::TargetFailed),
     }
@@ -124,7 +123,7 @@
 fn verdict_idempotent(point: FailurePoint, may_try_again: bool) -> Verdict {
     match (point, may_try_again) {
         (_, true) => Verdict::Retry,
-        (point, false) if point.is_harmless() => Verdict::Tell(Refusal::TargetUnavailable),
+        (point, false) if point.is_unexecuted() => Verdict::Tell(Refusal::TargetUnavailable),
         (FailurePoint::RefusedByTarget, false) => Verdict::PassOn,
         (_, false) => Verdict::Tell(Refusal::TargetFailed),
     }
--- a/samphiresill-gateway/src/callers/activity.rs
+++ b/samphiresill-gateway/src/callers/activity.rs
@@ -1,4 +1,4 @@
-//! What happens on one connection of a caller: requests at work, a head that arrives, idleness.
+//! Activity on one connection of a caller: active requests, a pending head, idle time.
 
 use std::io;
 use std::pin::Pin;
@@ -14,14 +14,13 @@
 
 use crate::gateway::{Gateway, InFlight};
 
-/// `Activity` is what happens on one connection.
+/// `Activity` is the activity on one connection.
 #[derive(Debug)]
 pub struct Activity {
     #[debug(skip)]
     clock: Arc<dyn Clock>,
     requests: AtomicUsize,
-    /// Since when no request is at work, or the part of a head has been arriving; monotonic
-    /// milliseconds.
+    /// Since when the connection has been idle or a head has been pending; monotonic milliseconds.
     since_ms: AtomicU64,
     is_head_pending: AtomicBool,
 }
@@ -39,7 +38,7 @@
         }
     }
 
-    /// For how long no request has been at work.
+    /// For how long no request has been active.
     #[must_use]
     pub fn idle_for(&self) -> Duration {
         if self.requests.load(Ordering::Relaxed) > 0 {
@@ -49,7 +48,7 @@
         }
     }
 
-    /// For how long the head of a request has been arriving without being whole.
+    /// For how long an incomplete head of a request has been pending.
     #[must_use]
     pub fn head_pending_for(&self) -> Duration {
         if self.is_head_pending.load(Ordering::Relaxed) {
@@ -69,7 +68,7 @@
         self.since_ms.store(now, Ordering::Relaxed);
     }
 
-    /// Notes bytes from the caller. While a request is at work they belong to it.
+    /// Notes bytes from the caller; those that arrive during a request belong to it.
     fn received(&self) {
         let is_idle = self.requests.load(Ordering::Relaxed) == 0;
         if is_idle && !self.is_head_pending.swap(true, Ordering::Relaxed) {
@@ -78,14 +77,15 @@
     }
 }
 
-/// `Busy` counts a request as at work, on its connection and in the gateway, until it is dropped.
+/// `ActiveRequest` counts a request as active, on its connection and in the gateway, until it is
+/// dropped.
 #[derive(Debug)]
-pub struct Busy {
+pub struct ActiveRequest {
     activity: Arc<Activity>,
     _in_flight: InFlight,
 }
 
-impl Busy {
+impl ActiveRequest {
     /// Counts a request whose head has arrived.
     #[must_use]
     pub fn new(activity: &Arc<Activity>, gateway: &Gateway) -> Self {
@@ -98,19 +98,19 @@
     }
 }
 
-impl Drop for Busy {
+impl Drop for ActiveRequest {
     fn drop(&mut self) {
         self.activity.mark();
         self.activity.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// `Watched` is a caller's connection that tells its activity of received bytes.
+/// `Watched` is a caller's connection that reports received bytes to its activity.
 #[derive(Debug)]
 pub struct Watched {
     /// The connection.
     pub stream: TcpStream,
-    /// What happens on it.
+    /// Its activity.
     pub activity: Arc<Activity>,
 }
 
--- a/samphiresill-gateway/src/callers/mod.rs
+++ b/samphiresill-gateway/src/callers/mod.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 
-pub use self::activity::Busy;
+pub use self::activity::ActiveRequest;
 use self::activity::{Activity, Watched};
 use crate::gateway::Gateway;
 use crate::listener::{Accepted, Listener};
@@ -60,7 +60,7 @@
         let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
         let occupancy = occupancy.clone();
         service_fn(move |req| {
-            let busy = Busy::new(&activity, &gateway);
+            let active = ActiveRequest::new(&activity, &gateway);
             let gateway = Arc::clone(&gateway);
             let is_occupancy_high = occupancy.exceeds(HIGH_OCCUPANCY);
             async move {
@@ -69,7 +69,7 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                response.body_mut().hold(busy);
+                response.body_mut().hold(active);
                 Ok::<_, Infallible>(response)
             }
         })
@@ -82,7 +82,7 @@
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // It would also end idle connections.
+        // Hyper's timeout would also end idle connections.
         .header_read_timeout(None)
         .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(watched), service);
--- a/samphiresill-gateway/src/knowledge/directory.rs
+++ b/samphiresill-gateway/src/knowledge/directory.rs
@@ -1,10 +1,10 @@
 //! The directory of targets as known to a router, by rows with versions.
 //!
-//! Answers the load pattern in which many targets change at once before many routers: a router
-//! that is behind is sent the rows that changed since, not the whole directory.
+//! Answers the load pattern in which many targets change at once in a large fleet: a router that is
+//! behind receives the rows that have changed since its version, not the whole directory.
 //!
-//! Invariants: the directory's version never falls, and all changes up to it are known; a row is replaced only by one of a higher
-//! version; at most [`MAX_REMOVED`] removed rows are kept.
+//! Invariants: the directory's version never falls, and all changes up to it are known; a row is
+//! replaced only by one of a higher version; at most [`MAX_TOMBSTONES`] tombstones are kept.
 
 use std::collections::BTreeMap;
 
@@ -12,9 +12,9 @@
 use samphiresill_core::routing::TargetEntry;
 use serde::{Deserialize, Serialize};
 
-/// Removed rows that are kept, so that routers that are behind learn of them: several hours of the
-/// planned 330 restarts and 4,900 changes a day.
-const MAX_REMOVED: usize = 2_000;
+/// Tombstones that are kept for routers that are behind: several days of the planned 320 restarts
+/// a day.
+const MAX_TOMBSTONES: usize = 2_000;
 /// Bytes of a change beside its names: version, address, slots, state and start, as encoded.
 const CHANGE_BYTES: usize = 40;
 
@@ -47,12 +47,12 @@
     pub changes: Vec<Change>,
 }
 
-/// `Directory` holds the rows of the directory, removed ones included.
+/// `Directory` holds the rows of the directory, with tombstones for removed ones.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     version: u64,
     rows: BTreeMap<TargetName, Change>,
-    /// Removed rows of this version or a lower one have been dropped.
+    /// Tombstones of this version or a lower one have been dropped.
     dropped: u64,
 }
 
@@ -63,7 +63,7 @@
         self.version
     }
 
-    /// Rows, removed ones included.
+    /// Rows, tombstones included.
     pub fn rows(&self) -> impl Iterator<Item = &Change> {
         self.rows.values()
     }
@@ -71,7 +71,7 @@
     /// Takes changes, each unless a newer one is known for its target. All changes up to the version
     /// `complete_to` are known then.
     pub fn apply(&mut self, changes: Vec<Change>, complete_to: u64) {
-        // A row that is not known was removed, and dropped, if its version is not above that.
+        // The tombstone of an unknown row may have been dropped.
         self.merge(changes, self.dropped);
         self.version = self.version.max(complete_to);
     }
@@ -87,11 +87,11 @@
             .map(|c| Change {
                 name: c.name.clone(),
                 entry: None,
-                // Routers that are behind learn of it although no row in the store says so.
+                // A new version, so that the removal is part of later updates.
                 version: version.max(c.version + 1),
             })
             .collect();
-        // Gateways compare the versions of rows: that of the store rises without a change too.
+        // The store's own version also rises without a change of the directory.
         let newest = listed.iter().chain(&removed).map(|c| c.version).max();
         self.merge(listed, 0);
         self.merge(removed, 0);
@@ -105,7 +105,7 @@
                 self.rows.insert(change.name.clone(), change);
             }
         }
-        self.drop_removed();
+        self.drop_tombstones();
     }
 
     /// Takes an update of another router; false when it brings nothing new, or changes before it are
@@ -125,7 +125,7 @@
         true
     }
 
-    /// What a router at version `after` lacks.
+    /// The changes that a router at version `after` is missing.
     #[must_use]
     pub fn since(&self, after: u64) -> Update {
         let is_whole = after < self.dropped || after == 0;
@@ -143,15 +143,15 @@
         }
     }
 
-    fn drop_removed(&mut self) {
+    fn drop_tombstones(&mut self) {
         let removed = self.rows.values().filter(|c| c.entry.is_none());
         let mut versions: Vec<u64> = removed.map(|c| c.version).collect();
-        if versions.len() <= MAX_REMOVED {
+        if versions.len() <= MAX_TOMBSTONES {
             return;
         }
         versions.sort_unstable();
-        // Half of what may be kept goes at once, so that this is rare.
-        let newest_dropped = versions[versions.len() - MAX_REMOVED / 2];
+        // Half of them are dropped at once, to amortise the scan.
+        let newest_dropped = versions[versions.len() - MAX_TOMBSTONES / 2];
         self.dropped = self.dropped.max(newest_dropped);
         let dropped = self.dropped;
         self.rows
@@ -180,7 +180,7 @@
                 });
             }
             if let Some(part) = parts.last_mut() {
-                // Rows can be newer than the version that all is known of.
+                // Single rows can be newer than the version of the update.
                 part.version = change.version.min(self.version);
                 part.changes.push(change);
             }
--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -17,7 +17,7 @@
 use self::directory::{Change, Directory, Update};
 use crate::dialect::Dialect;
 
-/// Age of a peer's heartbeat up to which it counts: three of them.
+/// Age up to which a heartbeat of a watching peer counts: three heartbeat intervals.
 const PEER_WATCHING: Duration = Duration::from_millis(1_200);
 
 /// `Versions` are the versions of a router's knowledge.
@@ -44,7 +44,7 @@
     directory: Mutex<Directory>,
     changed: watch::Sender<()>,
     watching: watch::Sender<Watching>,
-    /// When a peer was last heard that the store answers; monotonic milliseconds, 0 for never.
+    /// Last heartbeat of a peer that the store answers; monotonic milliseconds, 0 for none.
     peer_watching_at_ms: AtomicU64,
 }
 
@@ -85,13 +85,13 @@
         });
     }
 
-    /// Notes a peer that watches the store, and that the store answers.
+    /// Notes a heartbeat of a peer that the store answers.
     pub fn note_peer_watching(&self, now: Duration) {
         self.peer_watching_at_ms
             .store(now.as_millis() as u64, Ordering::Relaxed);
     }
 
-    /// Whether the store has lately answered a peer: a failure of it is then not an outage.
+    /// Whether the store answers a peer, so that a failed call is not an outage of the store.
     #[must_use]
     pub fn is_peer_watching(&self, now: Duration) -> bool {
         let at = Duration::from_millis(self.peer_watching_at_ms.load(Ordering::Relaxed));
@@ -172,7 +172,7 @@
         }
     }
 
-    /// What a router whose directory has version `after` lacks.
+    /// The changes that a router at version `after` is missing.
     #[must_use]
     pub fn directory_since(&self, after: u64) -> Update {
         lock(&self.directory).since(after)
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -43,9 +43,9 @@
     TimeUp,
 }
 
-/// `Placer` is who has placed a request.
+/// `PlacedBy` is which gateway has decided on the placement of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-pub enum Placer {
+pub enum PlacedBy {
     /// This gateway, which is a scheduler.
     #[display("own")]
     Own,
@@ -112,8 +112,8 @@
         self.not_admitted.add(1, &label);
     }
 
-    /// Counts a decision on where a request goes, or that it goes nowhere.
-    pub fn placed(&self, placer: Placer) {
+    /// Counts a decision on the placement of a request, refusals included.
+    pub fn placed(&self, placer: PlacedBy) {
         let label = [KeyValue::new("by", placer.to_string())];
         self.placements.add(1, &label);
     }
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -22,8 +22,8 @@
 pub(super) const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Pause between sweeps of the account.
 const SWEEP: Duration = Duration::from_millis(500);
-/// Each change of the load goes to all schedulers, so that a large fleet has few: two for each of
-/// three failure domains.
+/// A large fleet has few schedulers, because each load event is replicated to all of them: two for
+/// each of three failure domains.
 pub(super) const SIZES: roles::Sizes = roles::Sizes {
     small_fleet: 12,
     schedulers: 6,
@@ -60,8 +60,8 @@
     pub(super) swept_at: Duration,
     pub(super) unusable: BTreeSet<TargetName>,
     pub(super) watcher_seen_at: Duration,
-    /// Last frame of a gateway that keeps this one informed.
-    pub(super) informant_seen_at: Duration,
+    /// When the last frame of a parent in the dissemination tree arrived.
+    pub(super) parent_seen_at: Duration,
     pub(super) announced_version: u64,
     pub(super) behind_since: Option<Duration>,
     pub(super) is_fetching: Arc<AtomicBool>,
@@ -110,7 +110,7 @@
             swept_at: now,
             unusable: BTreeSet::new(),
             watcher_seen_at: now,
-            informant_seen_at: now,
+            parent_seen_at: now,
             announced_version: 0,
             behind_since: None,
             is_fetching: Arc::default(),
@@ -136,7 +136,7 @@
                     Err(e) => log::debug!(error:% = e; "no datagram received"),
                 },
                 _ = ticks.tick() => self.tick().await,
-                Ok(()) = changes.changed() => self.pass_on_knowledge().await,
+                Ok(()) = changes.changed() => self.relay_updates().await,
                 Ok(()) = leaving.changed() => {
                     let out = self.membership.leave();
                     self.act(out).await;
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -34,8 +34,8 @@
             self.watcher_seen_at = now;
             self.gateway.knowledge.note_peer_watching(now);
         }
-        if self.peers.informants().contains(&from) {
-            self.informant_seen_at = now;
+        if self.peers.parents().contains(&from) {
+            self.parent_seen_at = now;
         }
         if frame.is_for_relay {
             self.clients.insert(from, now);
@@ -103,8 +103,8 @@
         }
     }
 
-    /// Receivers of a heartbeat without load: the clients of a scheduler; for others the
-    /// schedulers that keep them informed, beside the one that their load goes to.
+    /// Receivers of a heartbeat without load: the clients of a scheduler; for other gateways their
+    /// parents, without the one that receives their load.
     fn heartbeat_receivers(
         &mut self,
         is_scheduler: bool,
@@ -113,22 +113,22 @@
     ) -> Vec<SocketAddr> {
         let mut receivers = self.live_clients(now);
         if !is_scheduler {
-            receivers.extend(self.peers.informants());
+            receivers.extend(self.peers.parents());
         }
         receivers.retain(|a| !told.contains(a));
         receivers
     }
 
-    /// Gateways that have requested something here lately.
+    /// Clients whose last frame is recent.
     fn live_clients(&mut self, now: Duration) -> Vec<SocketAddr> {
         self.clients
             .retain(|_, heard| now.saturating_sub(*heard) < HEARTBEAT * 4);
         self.clients.keys().copied().collect()
     }
 
-    /// Passes on newer knowledge: from the watchers to the schedulers, and from these to their
-    /// clients.
-    pub(super) async fn pass_on_knowledge(&mut self) {
+    /// Relays newer versions down the dissemination tree: from the watchers to the schedulers, and
+    /// from these to their clients.
+    pub(super) async fn relay_updates(&mut self) {
         let now = self.gateway.clock.monotonic();
         let mut to = self.live_clients(now);
         if self.gateway.knowledge.is_watching() {
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -35,8 +35,8 @@
     is_own: bool,
     /// Those to request placements from, in order.
     order: Vec<SocketAddr>,
-    /// Those that keep this gateway informed.
-    informants: Vec<SocketAddr>,
+    /// Those that relay configuration and directory to this gateway.
+    parents: Vec<SocketAddr>,
     /// Those that did not reply in time, and until when they are skipped.
     skipped_until: BTreeMap<SocketAddr, Duration>,
 }
@@ -49,7 +49,7 @@
     schedulers: Mutex<Schedulers>,
     pending: Mutex<BTreeMap<u32, oneshot::Sender<PlacementReplyFrame>>>,
     leaving: watch::Sender<bool>,
-    /// Whether this gateway knows what engines cache, as far as anyone does.
+    /// Whether the contents of the engines' caches have been loaded.
     is_warm: AtomicBool,
 }
 
@@ -115,8 +115,8 @@
         let elsewhere = order
             .iter()
             .find(|m| nearest.is_some_and(|n| n.domain != m.domain));
-        let informants = nearest.into_iter().chain(elsewhere.or(order.get(1)));
-        schedulers.informants = informants.map(|m| m.address).collect();
+        let parents = nearest.into_iter().chain(elsewhere.or(order.get(1)));
+        schedulers.parents = parents.map(|m| m.address).collect();
     }
 
     /// The schedulers other than this gateway.
@@ -131,10 +131,10 @@
         self.schedulers().order.first().copied()
     }
 
-    /// The schedulers that keep this gateway informed: the nearest one, and one of another failure
-    /// domain, so that the loss of either delays nothing.
-    fn informants(&self) -> Vec<SocketAddr> {
-        self.schedulers().informants.clone()
+    /// The parents of this gateway in the dissemination tree: the nearest scheduler, and one of
+    /// another failure domain for redundancy.
+    fn parents(&self) -> Vec<SocketAddr> {
+        self.schedulers().parents.clone()
     }
 
     fn schedulers(&self) -> MutexGuard<'_, Schedulers> {
--- a/samphiresill-gateway/src/peers/placement.rs
+++ b/samphiresill-gateway/src/peers/placement.rs
@@ -12,7 +12,7 @@
 use super::Peers;
 use super::frame::{Frame, PlacementReplyFrame, PlacementRequestFrame};
 use crate::gateway::Gateway;
-use crate::metrics::Placer;
+use crate::metrics::PlacedBy;
 
 /// Timeout of a placement request: several round trips, small against latency objectives.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(40);
@@ -42,7 +42,7 @@
                 schedulers.skipped_until.insert(scheduler, now + SKIP_TIME);
                 continue;
             };
-            gateway.metrics.placed(Placer::Scheduler);
+            gateway.metrics.placed(PlacedBy::Scheduler);
             let now = gateway.clock.monotonic();
             if let Ok(placement) = &answer.decision {
                 gateway.account().adopt(placement, req, now);
@@ -50,9 +50,9 @@
             return answer.decision;
         }
         gateway.metrics.placed(if is_own {
-            Placer::Own
+            PlacedBy::Own
         } else {
-            Placer::Fallback
+            PlacedBy::Fallback
         });
         let now = gateway.clock.monotonic();
         let mut account = gateway.account();
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -24,7 +24,7 @@
 const DIRECTORY_PATH: &str = "/directory";
 /// Bytes that are taken from a peer at most: some kB for each of the planned 1,100 targets.
 const MAX_FETCHED_BYTES: usize = 8 * 1024 * 1024;
-/// Path of what engines cache.
+/// Path of the contents of the engines' caches.
 const CACHES_PATH: &str = "/caches";
 /// Time for a whole fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -86,7 +86,8 @@
     Ok(bytes)
 }
 
-/// What engines cache, as another scheduler knows it; nothing when it has just started itself.
+/// The contents of the engines' caches as known to another scheduler; nothing when it has not loaded
+/// them itself.
 ///
 /// # Errors
 /// When the peer does not answer.
--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -1,8 +1,8 @@
-//! What a new scheduler learns of the engines' caches: from another scheduler, or from the engines.
+//! Loads the contents of the engines' caches into a new scheduler, from another scheduler or from
+//! the engines.
 //!
-//! Answers the load pattern in which routers are started again while engines are warm: without this,
-//! prompts go where their prefix is not cached, and after a loss of all routers each engine prefills
-//! again what another one still holds.
+//! Answers the load pattern in which routers restart while engines are warm: without the contents,
+//! prompts are placed on engines that do not cache their prefix, which prefill it once more.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,21 +17,21 @@
 use crate::connection::call;
 use crate::gateway::Gateway;
 
-/// Pause between looks for a scheduler that knows the caches.
+/// Interval between requests to other schedulers.
 const POLL: Duration = Duration::from_millis(100);
-/// Time after which the engines are asked, because no scheduler knows the caches; as long as
-/// membership takes to converge.
-const ASK_ENGINES_AFTER: Duration = Duration::from_millis(700);
-/// Time after asking engines in which the other schedulers that have just started ask theirs: until
-/// then this one knows only a part.
-const OTHERS_ASK: Duration = Duration::from_secs(1);
-/// Time for an engine to list its cache.
+/// Time after which the engines are queried because no scheduler has the contents; membership
+/// converges within it.
+const QUERY_ENGINES_AFTER: Duration = Duration::from_millis(700);
+/// Time after the query within which the other schedulers that have just started publish the part
+/// that they query.
+const CONVERGENCE: Duration = Duration::from_secs(1);
+/// Timeout of a query to an engine.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Caches of engines, by name.
 pub(super) type Caches = Vec<(TargetName, Vec<PromptPart>)>;
 
-/// Learns the caches once, as this gateway becomes a scheduler.
+/// Loads the contents once, when this gateway becomes a scheduler.
 pub(super) async fn run(gateway: Arc<Gateway>, peers: Arc<Peers>) {
     let began = gateway.clock.monotonic();
     loop {
@@ -40,42 +40,44 @@
             return;
         }
         let is_known = !gateway.account().engines().is_empty();
-        if is_known && learn_from_peer(&gateway, &peers).await {
+        if is_known && load_from_peer(&gateway, &peers).await {
             break;
         }
         let waited = gateway.clock.monotonic().saturating_sub(began);
-        if is_known && waited > ASK_ENGINES_AFTER {
-            ask_engines(&gateway, &peers).await;
-            tokio::time::sleep(OTHERS_ASK).await;
+        if is_known && waited > QUERY_ENGINES_AFTER {
+            query_engines(&gateway, &peers).await;
+            tokio::time::sleep(CONVERGENCE).await;
             break;
         }
     }
     peers.is_warm.store(true, Ordering::Release);
 }
 
-/// Takes the caches from the first other scheduler that knows them.
-async fn learn_from_peer(gateway: &Gateway, peers: &Peers) -> bool {
+/// Loads the contents from the first other scheduler that has them.
+async fn load_from_peer(gateway: &Gateway, peers: &Peers) -> bool {
     for peer in peers.other_schedulers() {
         match snapshot::caches(gateway, peer).await {
             Ok(Some(caches)) => {
                 let engines = caches.len();
                 let mut account = gateway.account();
                 for (target, parts) in caches {
-                    account.add_found(&target, &parts);
+                    account.add_cached(&target, &parts);
                 }
                 drop(account);
-                log::info!(peer:% = peer, engines; "caches learnt from a peer");
+                log::info!(peer:% = peer, engines; "cache contents loaded from a peer");
                 return true;
             }
             Ok(None) => {}
-            Err(e) => log::debug!(peer:% = peer, error:% = format!("{e:#}"); "caches not fetched"),
+            Err(e) => {
+                log::debug!(peer:% = peer, error:% = format!("{e:#}"); "cache contents not loaded from a peer");
+            }
         }
     }
     false
 }
 
-/// Asks this scheduler's part of the engines, and tells the other schedulers.
-async fn ask_engines(gateway: &Gateway, peers: &Peers) {
+/// Queries this scheduler's part of the engines, and publishes the results to the other schedulers.
+async fn query_engines(gateway: &Gateway, peers: &Peers) {
     let mut schedulers = peers.other_schedulers();
     schedulers.push(peers.own);
     let engines = gateway.account().engines();
@@ -93,15 +95,17 @@
                 engines += 1;
                 parts += found.len();
                 let now = gateway.clock.monotonic();
-                gateway.account().publish_found(&engine, &found, now);
+                gateway.account().publish_cached(&engine, &found, now);
+            }
+            Err(e) => {
+                log::info!(target:% = engine, error:% = format!("{e:#}"); "cache contents not listed by an engine");
             }
-            Err(e) => log::info!(target:% = engine, error:% = format!("{e:#}"); "cache not listed"),
         }
     }
-    log::info!(engines, parts; "caches listed by engines");
+    log::info!(engines, parts; "cache contents loaded from engines");
 }
 
-/// The scheduler that asks an engine: all that see the same schedulers agree.
+/// The scheduler that queries an engine, by rendezvous hashing over the schedulers.
 fn assigned(engine: &TargetName, schedulers: &[SocketAddr]) -> Option<SocketAddr> {
     let weight = |s: &&SocketAddr| KeyHash::of_key(&format!("{engine} {s}"));
     schedulers.iter().max_by_key(weight).copied()
--- a/samphiresill-gateway/src/peers/watching.rs
+++ b/samphiresill-gateway/src/peers/watching.rs
@@ -6,14 +6,14 @@
 
 /// Time without a heartbeat of a watcher after which the next scheduler in rank watches the store.
 const WATCHER_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// The same for each further rank, so that not all start at once; the last of twelve is still well
-/// within the operators' bounds on leaving targets, which begin at two seconds.
+/// Additional timeout for each further rank, so that not all start at once; with twelve ranks it
+/// stays below the drain timeouts, which begin at two seconds.
 const WATCHER_TIMEOUT_PER_RANK: Duration = Duration::from_millis(40);
-/// Time without a frame of an informant after which a gateway that is no scheduler watches the store:
-/// three heartbeats, and well within the operators' bounds on leaving targets.
-const INFORMANT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// What is added to it at most.
-const INFORMANT_TIMEOUT_SPREAD: Duration = Duration::from_millis(400);
+/// Time without a frame of a parent after which a gateway that is not a scheduler watches the store:
+/// three heartbeats, and below the drain timeouts, which begin at two seconds.
+const PARENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Largest jitter that is added to it.
+const PARENT_TIMEOUT_SPREAD: Duration = Duration::from_millis(400);
 /// Time after the start in which membership converges before roles apply.
 const SETTLE: Duration = Duration::from_millis(700);
 /// Time after the start within which a peer usually supplies the configuration.
@@ -33,16 +33,16 @@
                 let silent_for = now.saturating_sub(self.watcher_seen_at);
                 rank < SIZES.watchers || silent_for > WATCHER_TIMEOUT + extra
             }
-            None => now.saturating_sub(self.informant_seen_at) > self.informant_timeout(),
+            None => now.saturating_sub(self.parent_seen_at) > self.parent_timeout(),
         };
         self.gateway.knowledge.set_watching(is_wanted);
     }
 
-    /// Time without a frame of an informant after which a gateway counts as partitioned; spread, so
-    /// that not all of a failure domain turn to the store at once.
-    fn informant_timeout(&self) -> Duration {
+    /// Time without a frame of a parent after which a gateway counts as partitioned; jittered, so
+    /// that not all gateways of a failure domain read the store at once.
+    fn parent_timeout(&self) -> Duration {
         let part = (self.origin % 1_000) as f64 / 1_000.0;
-        INFORMANT_TIMEOUT + INFORMANT_TIMEOUT_SPREAD.mul_f64(part)
+        PARENT_TIMEOUT + PARENT_TIMEOUT_SPREAD.mul_f64(part)
     }
 
     /// The seeds watch the store at once, because all others start from them; these do so only when
--- a/samphiresill-gateway/src/relay/answer.rs
+++ b/samphiresill-gateway/src/relay/answer.rs
@@ -11,7 +11,7 @@
 use hyper::{Response, StatusCode};
 
 use super::stream::Stream;
-use crate::callers::Busy;
+use crate::callers::ActiveRequest;
 
 #[derive(Debug)]
 enum Content {
@@ -19,11 +19,11 @@
     Stream(Box<Stream>),
 }
 
-/// `Answer` is the body of an answer to a caller; the request counts as at work until it ends.
+/// `Answer` is the body of an answer to a caller; the request counts as active until it ends.
 #[derive(Debug)]
 pub struct Answer {
     content: Content,
-    busy: Option<Busy>,
+    active: Option<ActiveRequest>,
 }
 
 impl Answer {
@@ -32,7 +32,7 @@
     pub fn whole(bytes: Bytes) -> Self {
         Self {
             content: Content::Whole(Some(bytes).filter(|b| !b.is_empty())),
-            busy: None,
+            active: None,
         }
     }
 
@@ -41,13 +41,13 @@
     pub fn stream(stream: Stream) -> Self {
         Self {
             content: Content::Stream(Box::new(stream)),
-            busy: None,
+            active: None,
         }
     }
 
-    /// Counts the request as at work until the body has ended.
-    pub fn hold(&mut self, busy: Busy) {
-        self.busy = Some(busy);
+    /// Counts the request as active until the body has ended.
+    pub fn hold(&mut self, active: ActiveRequest) {
+        self.active = Some(active);
     }
 }
 
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -322,7 +322,7 @@
 /// What a failed attempt shows of its target.
 fn result_of(failure: &Failure) -> RunResult {
     match failure.point {
-        // Where another target answers, this one is gone.
+        // Another target has taken over the address.
         FailurePoint::Connect | FailurePoint::Misdirected => RunResult::Unreachable,
         _ => RunResult::Failed,
     }
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -30,8 +30,8 @@
 /// `Retry-After` while no configuration is known.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 
-/// `Retry-After` while the memory for bodies is taken: bodies are gone with their requests, most
-/// of which end within a second.
+/// `Retry-After` while the memory for bodies is used up: most requests, and their bodies with them,
+/// end within a second.
 const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
 
 /// `NotAdmitted` is the gateway's own answer to a request that is not forwarded, and the reason.
--- a/samphiresill-sched/src/fleet/account/mod.rs
+++ b/samphiresill-sched/src/fleet/account/mod.rs
@@ -28,8 +28,8 @@
 const RETRY_MEMORY: Duration = Duration::from_secs(10);
 /// Refused requests that are recorded at most.
 const MAX_REFUSED: usize = 4_096;
-/// Found prompt parts in one event, so that it fits a datagram.
-const MAX_FOUND_PARTS: usize = 80;
+/// Cached prompt parts in one event, so that it fits a datagram.
+const MAX_CACHED_PARTS: usize = 80;
 /// Age below which a run may be missing from its origin's list: its placement may be in flight.
 const LIST_LAG: Duration = Duration::from_millis(600);
 /// Age at which a run is taken as ended; longer than any route lets one last.
@@ -194,21 +194,21 @@
         engines.filter(|(_, parts)| !parts.is_empty()).collect()
     }
 
-    /// Takes in prompt parts that were found in the cache of an engine.
-    pub fn add_found(&mut self, target: &TargetName, parts: &[PromptPart]) {
+    /// Adds prompt parts to the known contents of an engine's cache.
+    pub fn add_cached(&mut self, target: &TargetName, parts: &[PromptPart]) {
         if let Some(Target {
             load: Load::Engine(load),
             ..
         }) = self.targets.get_mut(target)
         {
-            load.add_found(parts);
+            load.add_cached(parts);
         }
     }
 
-    /// The same for parts that this router has found, which it tells the others.
-    pub fn publish_found(&mut self, target: &TargetName, parts: &[PromptPart], now: Duration) {
-        for parts in parts.chunks(MAX_FOUND_PARTS) {
-            let event = Event::Found {
+    /// Adds prompt parts that this router has read from an engine, and publishes them.
+    pub fn publish_cached(&mut self, target: &TargetName, parts: &[PromptPart], now: Duration) {
+        for parts in parts.chunks(MAX_CACHED_PARTS) {
+            let event = Event::Cached {
                 target: target.clone(),
                 parts: parts.to_vec(),
             };
@@ -367,7 +367,7 @@
                 }
                 self.remember_refused(*fingerprint, now);
             }
-            Event::Found { target, parts } => self.add_found(target, parts),
+            Event::Cached { target, parts } => self.add_cached(target, parts),
             Event::Stalled { target } => {
                 if let Some(target) = self.targets.get_mut(target) {
                     target.health.reported_stalled(now);
--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -170,9 +170,9 @@
         self.prefixes.parts()
     }
 
-    /// Takes in prompt parts that were found cached there.
-    pub fn add_found(&mut self, parts: &[PromptPart]) {
-        self.prefixes.add_found(parts, self.spare_memory());
+    /// Adds prompt parts that the engine reports as cached.
+    pub fn add_cached(&mut self, parts: &[PromptPart]) {
+        self.prefixes.add_cached(parts, self.spare_memory());
     }
 
     /// Tokens at the start of a prompt that another engine can copy from there now.
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -63,8 +63,8 @@
         /// What it needs, in weighted tokens.
         cost: u64,
     },
-    /// Prompt parts were found in the cache of an engine.
-    Found {
+    /// An engine has reported prompt parts as cached.
+    Cached {
         /// The engine.
         target: TargetName,
         /// The parts.
--- a/samphiresill-sched/src/fleet/prefix.rs
+++ b/samphiresill-sched/src/fleet/prefix.rs
@@ -81,9 +81,9 @@
         entries.into_iter().map(part).collect()
     }
 
-    /// Adds parts that were found there, within `capacity` tokens; those that are known stay as they
-    /// are, and found ones count as older than all of them.
-    pub fn add_found(&mut self, parts: &[PromptPart], capacity: u64) {
+    /// Adds parts that the engine reports as cached, within `capacity` tokens; known parts are not
+    /// changed, and added ones count as least recently used.
+    pub fn add_cached(&mut self, parts: &[PromptPart], capacity: u64) {
         for part in parts {
             let is_over = self.tokens + u64::from(part.tokens) > capacity;
             if is_over || self.entries.contains_key(&part.id) {
--- a/samphiresill-sched/src/fleet/tests/decisions.rs
+++ b/samphiresill-sched/src/fleet/tests/decisions.rs
@@ -219,18 +219,18 @@
 }
 
 #[test]
-fn found_parts_are_known_and_give_way_first() {
+fn reported_parts_are_known_and_evicted_first() {
     let part = |id, tokens| PromptPart { id, tokens };
     let mut cache = PrefixCache::default();
     cache.touch(&[part(1, 100)], 1_000, MS, MS);
-    cache.add_found(&[part(1, 100), part(2, 300), part(3, 900)], 1_000);
+    cache.add_cached(&[part(1, 100), part(2, 300), part(3, 900)], 1_000);
     assert_eq!(cache.cached_tokens(&[part(1, 100), part(2, 300)]), 400);
     assert_eq!(
         cache.cached_tokens(&[part(3, 900)]),
         0,
         "beyond the capacity"
     );
-    // A found part can be copied at once, and is evicted before what has been used since.
+    // A reported part can be copied at once, and is evicted before those used since.
     assert_eq!(cache.copyable_tokens(&[part(2, 300)], MS), 300);
     cache.touch(&[part(4, 700)], 1_000, MS * 2, MS * 2);
     assert_eq!(cache.cached_tokens(&[part(1, 100)]), 100);
--- a/samphiresill-telemetry/src/logging/queue.rs
+++ b/samphiresill-telemetry/src/logging/queue.rs
@@ -1,7 +1,7 @@
-//! A queue between those who log and the stream that is written to.
+//! A bounded queue between log statements and the output stream.
 //!
-//! Answers the case in which whoever reads the log falls behind: a full pipe blocks its writer, so
-//! a thread of its own writes, and lines that do not fit the queue are counted and left out.
+//! Answers the case in which the reader of the log falls behind: a full pipe blocks its writer, so a
+//! separate thread writes, and lines that do not fit the queue are counted and dropped.
 //!
 //! Invariant: the queue holds at most [`MAX_LINES`] lines.
 
@@ -16,7 +16,7 @@
 use flexi_logger::{DeferredNow, json_format};
 use log::Record;
 
-/// Lines that wait to be written at most, of some 300 bytes each.
+/// Capacity of the queue in lines, of some 300 bytes each.
 const MAX_LINES: usize = 2_048;
 /// Time for the last lines to be written when the process ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
@@ -27,7 +27,7 @@
     Flush(Sender<()>),
 }
 
-/// `Queue` takes lines without waiting for the stream that they are written to.
+/// `Queue` accepts lines without blocking on the output stream.
 pub struct Queue {
     items: Sender<Item>,
     lost: Arc<AtomicU64>,
@@ -48,7 +48,7 @@
         Ok(Self { items, lost })
     }
 
-    /// Adds a line; it is left out when the queue is full.
+    /// Adds a line, or drops it when the queue is full.
     pub fn push(&self, line: Vec<u8>) {
         if let Err(TrySendError::Full(_)) = self.items.try_send(Item::Line(line)) {
             self.lost.fetch_add(1, Ordering::Relaxed);
@@ -77,25 +77,25 @@
     }
 
     fn shutdown(&self) {
-        // Whoever reads the log is gone or too slow; there is nobody to tell.
+        // A failed flush cannot be reported on the same stream.
         let _ = self.flush();
     }
 }
 
 fn write_all(mut out: Box<dyn io::Write + Send>, queued: &Receiver<Item>, lost: &AtomicU64) {
     for item in queued {
-        // A stream that cannot be written to leaves no place to report that.
+        // A failed write cannot be reported on the same stream.
         let _ = match item {
             Item::Line(line) => out.write_all(&line),
             Item::Flush(written) => {
-                // Nobody waits for it after the timeout.
+                // The receiver is gone after its timeout.
                 let _ = written.send(());
                 out.flush()
             }
         };
         let lines = lost.swap(0, Ordering::Relaxed);
         if lines > 0 {
-            let text = r#""level":"WARN","text":"log lines lost, the log is read too slowly""#;
+            let text = r#""level":"WARN","text":"log lines dropped""#;
             let _ = writeln!(out, r#"{{{text},"kv":{{"lines":{lines}}}}}"#);
         }
         if queued.is_empty() {
--- a/samphiresill-telemetry/tests/queue.rs
+++ b/samphiresill-telemetry/tests/queue.rs
@@ -58,7 +58,7 @@
     let began = Instant::now();
     let text = loop {
         // A flush that times out is tried again.
-        if queue.flush().is_ok() && pipe.text().contains("log lines lost") {
+        if queue.flush().is_ok() && pipe.text().contains("log lines dropped") {
             break pipe.text();
         }
         assert!(began.elapsed() < PATIENCE, "{}", pipe.text());
--- a/samphiresill-timeline/src/clocks.rs
+++ b/samphiresill-timeline/src/clocks.rs
@@ -1,4 +1,4 @@
-//! Clocks of processes that differ, aligned by what all of them log.
+//! Alignment of the processes' clocks, by events that all of them log.
 //!
 //! A change of the configuration or of the directory of targets reaches all processes within some
 //! tens of milliseconds, so the differences between the times at which they log it show how far
@@ -33,7 +33,7 @@
     for line in lines {
         if let Some(key) = shared_key(line) {
             let seen = shared.entry(key).or_default();
-            // The first time counts: a process that was started again logs it once more.
+            // The first occurrence counts; a restarted process logs it again.
             seen.entry(&line.process).or_insert(line.time);
         }
     }
@@ -62,7 +62,7 @@
 /// Identifies a line that all processes log at about the same moment.
 fn shared_key(line: &Line) -> Option<String> {
     let name = match line.text.as_str() {
-        // A process that starts learns what others have known for long.
+        // The first revision after a start is not new to the other processes.
         "configuration in force" if line.number("from") != Some(0.0) => line.value("to")?,
         "target listed" => format!("{} {}", line.value("target")?, line.value("state")?),
         "target removed" => line.value("target")?,
--- a/samphiresill-timeline/src/explain.rs
+++ b/samphiresill-timeline/src/explain.rs
@@ -18,7 +18,7 @@
     )];
     sentences.extend(own.iter().map(|l| sentence(l)));
     let others = lines.iter().filter(|l| !is_own(l));
-    let context: Vec<String> = others.filter_map(|l| circumstance(l, last)).collect();
+    let context: Vec<String> = others.filter_map(|l| context_line(l, last)).collect();
     if !context.is_empty() {
         sentences.push("Around that time:".to_owned());
         sentences.extend(context);
@@ -103,7 +103,7 @@
     let number = |name: &str| line.number(name).unwrap_or(0.0);
     let end = line.value("end").unwrap_or_default();
     let how = if end == "complete" {
-        "ended as it should".to_owned()
+        "ended normally".to_owned()
     } else {
         format!("was broken off: {end}")
     };
@@ -118,8 +118,8 @@
     )
 }
 
-/// What another line says about the time of the request.
-fn circumstance(line: &Line, last: &Line) -> Option<String> {
+/// A related line as a sentence, with its time relative to the end of the request.
+fn context_line(line: &Line, last: &Line) -> Option<String> {
     let seconds = (line.time - last.time).as_seconds_f64();
     let when = if seconds < 0.0 {
         format!("{:.1} s before its end", -seconds)
--- a/samphiresill-timeline/src/filter.rs
+++ b/samphiresill-timeline/src/filter.rs
@@ -23,7 +23,7 @@
 /// `Filter` selects lines.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Filter {
-    /// Those of a request, and those that bear on it: its targets, its router.
+    /// Those of a request, and related ones about its targets and its router.
     Request(String),
     /// Those that name a target.
     Target(String),
@@ -68,7 +68,7 @@
     let (from, to) = (first.time - CONTEXT, last.time + CONTEXT);
     let targets: BTreeSet<String> = own.iter().filter_map(|l| l.value("target")).collect();
     let routers: BTreeSet<_> = own.iter().map(|l| &l.process).collect();
-    let bears_on = |l: &Line| {
+    let is_related = |l: &Line| {
         let is_about_target = l.value("target").is_some_and(|t| targets.contains(&t));
         let is_about_router =
             routers.contains(&l.process) && ROUTER_LINES.contains(&l.text.as_str());
@@ -77,6 +77,6 @@
     let is_other_request = |l: &Line| l.value("request").is_some_and(|r| r != request);
     lines
         .iter()
-        .filter(|l| is_own(l) || bears_on(l) && !is_other_request(l))
+        .filter(|l| is_own(l) || is_related(l) && !is_other_request(l))
         .collect()
 }
--- a/samphiresill-timeline/src/page.rs
+++ b/samphiresill-timeline/src/page.rs
@@ -1,5 +1,5 @@
-//! Lines as a page that needs nothing else: a lane for each process, a mark for each line, and the
-//! lines below.
+//! Lines as a self-contained HTML page: a lane for each process, a mark for each line, and the lines
+//! as text.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
