--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -76,6 +76,8 @@
     pub waited: Duration,
     /// Whether the request has run before.
     pub has_run: bool,
+    /// Whether this is the first attempt to place the request.
+    pub is_first_attempt: bool,
 }
 
 impl PlacementRequestFrame {
@@ -93,6 +95,7 @@
             tried: req.tried.to_vec(),
             waited: req.waited,
             has_run: req.has_run,
+            is_first_attempt: req.is_first_attempt,
         }
     }
 
@@ -109,6 +112,7 @@
             tried: &self.tried,
             waited: self.waited,
             has_run: self.has_run,
+            is_first_attempt: self.is_first_attempt,
         }
     }
 }
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -73,6 +73,7 @@
     ctx: Arc<RequestContext>,
     tried: Vec<TargetName>,
     runs: u32,
+    is_placement_requested: bool,
 }
 
 impl Attempts {
@@ -84,6 +85,7 @@
             ctx,
             tried: Vec::new(),
             runs: 0,
+            is_placement_requested: false,
         }
     }
 
@@ -188,7 +190,7 @@
     }
 
     /// Finds a target. The request is queued while capacity is expected soon.
-    async fn place(&self) -> Result<RunGuard, ForwardError> {
+    async fn place(&mut self) -> Result<RunGuard, ForwardError> {
         let began = self.gateway.clock.monotonic();
         loop {
             let now = self.gateway.clock.monotonic();
@@ -200,6 +202,7 @@
                 time_left: self.ctx.time_left(now),
                 domain: &self.gateway.domain,
                 tried: &self.tried,
+                is_first_attempt: !std::mem::replace(&mut self.is_placement_requested, true),
                 waited: now.saturating_sub(began),
                 has_run: self.runs > 0,
             };
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -31,6 +31,11 @@
 use crate::log_budget::Kind;
 use crate::metrics::Outcome;
 
+/// Time before the deadline from which on a caller that leaves counts as one that ran out of time:
+/// its own clock started before the request arrived here.
+const CALLER_DEADLINE_MARGIN: Duration = Duration::from_millis(50);
+/// Number of events from which on their mean interval is reported.
+const MIN_PACED_EVENTS: u32 = 3;
 /// Time without data after which a stream is resumed on another target, in multiples of the pause
 /// objective: callers abandon the stream after eight.
 const SILENCE_TIMEOUT_PAUSES: u32 = 4;
@@ -69,6 +74,30 @@
     Ended,
 }
 
+/// `Pace` measures the mean interval between the events of one run.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    events: u32,
+    first_at: Duration,
+    last_at: Duration,
+}
+
+impl Pace {
+    fn observe(&mut self, events: u32, now: Duration) {
+        if self.events == 0 {
+            self.first_at = now;
+        }
+        self.events += events;
+        self.last_at = now;
+    }
+
+    /// Returns the mean interval, when there are enough events to tell.
+    fn interval(&self) -> Option<Duration> {
+        (self.events >= MIN_PACED_EVENTS)
+            .then(|| self.last_at.saturating_sub(self.first_at) / (self.events - 1))
+    }
+}
+
 /// `EventStream` is a response body that is relayed as events.
 #[derive(Debug)]
 pub struct EventStream {
@@ -81,6 +110,7 @@
     last_id: Option<String>,
     events: u64,
     first_at: Option<Duration>,
+    pace: Pace,
     progress_at: Duration,
     reported_at: Option<Duration>,
     timer: Pin<Box<Sleep>>,
@@ -116,6 +146,7 @@
         last_id: None,
         events: 0,
         first_at: None,
+        pace: Pace::default(),
         progress_at: now,
         reported_at: None,
         in_flight,
@@ -202,12 +233,7 @@
             if time_left.is_zero() {
                 return Poll::Ready(BodyPoll::TimeUp);
             }
-            let pause = self
-                .ctx
-                .route
-                .event_interval_objective
-                .unwrap_or(DEFAULT_PAUSE);
-            let silent_at = self.progress_at + pause * SILENCE_TIMEOUT_PAUSES;
+            let silent_at = self.progress_at + self.pause() * SILENCE_TIMEOUT_PAUSES;
             let wait = if self.is_resumable {
                 if now >= silent_at {
                     let cause = "no event for too long";
@@ -225,8 +251,10 @@
     /// Returns the bytes that may be delivered now. Of a resumable stream, these are complete
     /// events that were not delivered before.
     fn take_complete_events(&mut self, bytes: &Bytes) -> Result<Bytes, &'static str> {
+        let now = self.gateway.clock.monotonic();
         if !self.is_resumable {
             self.events += 1;
+            self.pace.observe(1, now);
             return Ok(bytes.clone());
         }
         self.splitter.push(bytes);
@@ -239,6 +267,7 @@
                 self.last_id = event.id;
             }
             self.events += 1;
+            self.pace.observe(1, now);
             complete.extend_from_slice(&event.bytes);
         }
         if self.splitter.is_event_too_long() {
@@ -296,6 +325,7 @@
             return Err(format!("not resumed: status {status}"));
         }
         self.splitter = EventSplitter::default();
+        self.pace = Pace::default();
         self.placement = run.placement.clone();
         self.progress_at = self.gateway.clock.monotonic();
         self.state = State::Relaying {
@@ -308,6 +338,7 @@
 
     fn finish(&mut self) {
         self.log_end(COMPLETE);
+        self.report_event_interval();
         let state = std::mem::replace(&mut self.state, State::Ended);
         self.in_flight = None;
         if let State::Relaying {
@@ -332,8 +363,10 @@
 
     fn abort(&mut self, cause: &str) -> io::Error {
         self.log_end(cause);
+        self.report_event_interval();
         let now = self.gateway.clock.monotonic();
         let outcome = if self.ctx.time_left(now).is_zero() {
+            self.record_time_up(now);
             Outcome::TimeUp
         } else {
             Outcome::Lost
@@ -344,6 +377,33 @@
         io::Error::other(cause.to_owned())
     }
 
+    /// Records that the deadline has passed, unless the target had stalled before.
+    fn record_time_up(&mut self, now: Duration) {
+        let is_progressing = now.saturating_sub(self.progress_at) < self.pause() * 2;
+        if let State::Relaying { run, .. } = &mut self.state
+            && self.first_at.is_some()
+            && is_progressing
+        {
+            run.set_result(RunResult::TimeUp);
+        }
+    }
+
+    /// Longest pause between events that meets the objective.
+    fn pause(&self) -> Duration {
+        let objective = self.ctx.route.event_interval_objective;
+        objective.unwrap_or(DEFAULT_PAUSE)
+    }
+
+    /// Reports the interval between events to the fleet load, while the run is counted.
+    fn report_event_interval(&self) {
+        if let (State::Relaying { run, .. }, Some(interval)) = (&self.state, self.pace.interval()) {
+            let now = self.gateway.clock.monotonic();
+            self.gateway
+                .fleet_load()
+                .record_event_interval(&run.placement, interval, now);
+        }
+    }
+
     fn record_outcome(&self, outcome: Outcome, took: Duration) {
         let request_kind = self.ctx.route.request_kind;
         self.gateway
@@ -396,6 +456,16 @@
     }
 }
 
+impl Drop for EventStream {
+    /// A caller that leaves about when its deadline passes has run out of time.
+    fn drop(&mut self) {
+        let now = self.gateway.clock.monotonic();
+        if self.ctx.time_left(now) < CALLER_DEADLINE_MARGIN {
+            self.record_time_up(now);
+        }
+    }
+}
+
 fn poll_body(mut body: Pin<&mut Incoming>, cx: &mut Context<'_>) -> Poll<BodyPoll> {
     loop {
         return Poll::Ready(match ready!(body.as_mut().poll_frame(cx)) {
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -94,7 +94,7 @@
 /// `Candidate` holds the inputs of the decision on one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
-    /// Wait at the best engine.
+    /// Wait at the best engine, with its first-event latency.
     pub wait: Duration,
     /// Token interval of the streams on the best engine, in milliseconds.
     pub token_interval_ms: f64,
@@ -102,6 +102,8 @@
     pub interval_target_ms: f64,
     /// Latency objective of the request.
     pub latency_objective: Duration,
+    /// Shortest latency objective among the requests that share the engines.
+    pub shortest_objective: Duration,
     /// How long the request has been queued in its router.
     pub waited: Duration,
     /// Prefill time of the requests queued ahead.
@@ -127,9 +129,13 @@
     } else {
         1.0
     };
-    let max_wait = candidate
-        .latency_objective
-        .mul_f64(MAX_WAIT_FRACTION * factor);
+    // The geometric mean is a compromise: long objectives may use a burst's queue, but not so much of
+    // it that short ones no longer pass.
+    let shortest = candidate
+        .shortest_objective
+        .min(candidate.latency_objective);
+    let objective_s = (candidate.latency_objective.as_secs_f64() * shortest.as_secs_f64()).sqrt();
+    let max_wait = Duration::from_secs_f64(objective_s * MAX_WAIT_FRACTION * factor);
     let interval_ratio = candidate.token_interval_ms / (candidate.interval_target_ms * factor);
     if candidate.wait <= max_wait && interval_ratio <= 1.0 {
         return Ok(());
--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -15,28 +15,17 @@
 use samphiresill_core::routing::EngineSpec;
 use serde::{Deserialize, Serialize};
 
+use super::interval_correction::IntervalCorrection;
+use super::prefill::PrefillModel;
 use super::prefix::PrefixCache;
 use super::request::{Generation, PromptPart, RunId};
 
-/// Prefill rate assumed until one is learnt, in prompt tokens per millisecond.
-const INITIAL_RATE: f64 = 48.0;
-/// Bounds of the learnt rate, in prompt tokens per millisecond.
-const RATE_BOUNDS: (f64, f64) = (2.0, 500.0);
-/// Time constant of the rate average, in milliseconds of prefill time: about ten prompts.
-const RATE_TIME_CONSTANT_MS: f64 = 1_500.0;
-/// Weight of the initial rate in the average, in milliseconds of prefill time.
-const INITIAL_RATE_WEIGHT_MS: f64 = 60.0;
-/// Latency from sending to the first event beyond wait and prefill, as the number of prompt tokens
-/// that the engine prefills in that time: on idle engines of three speeds, the time varies with the
-/// speed of the engine and the number of tokens does not.
-const LATENCY_TOKENS: u32 = 1_050;
 /// Setup time of a KV cache copy between engines.
 const COPY_SETUP: Duration = Duration::from_millis(3);
 /// Prompt tokens that an engine prefills in one step (chunked prefill).
 const CHUNK_TOKENS: f64 = 2_048.0;
 /// Base time of a decode step, as the number of prompt tokens that the engine prefills in that
-/// time: on idle engines, the time varies with the speed of the engine and the number of tokens
-/// does not.
+/// time, so that it follows the speed of the engine.
 const STEP_TOKENS: f64 = 125.0;
 /// Additional time of a decode step for each running stream, in the same unit.
 const STEP_TOKENS_PER_RUN: f64 = 6.0;
@@ -58,6 +47,8 @@
     /// Prompt tokens to prefill; `None` after the first event.
     prefill: Option<u32>,
     since: Duration,
+    /// Token interval that the model expected at its start, in milliseconds.
+    modelled_interval_ms: f64,
 }
 
 /// `EngineLoad` is the load of one engine.
@@ -66,21 +57,17 @@
     spec: EngineSpec,
     runs: BTreeMap<RunId, Run>,
     prefixes: PrefixCache,
-    /// Decayed prefill time, in milliseconds.
-    prefill_ms: f64,
-    /// Tokens prefilled in that time.
-    prefilled_tokens: f64,
+    /// Runs without a first event, in order of arrival, with their prompt tokens to prefill.
+    pending: BTreeMap<(Duration, RunId), u32>,
+    prefill_model: PrefillModel,
+    interval_correction: IntervalCorrection,
     memory_tokens: u64,
     output_tokens: u64,
-    prefill_tokens: u64,
     /// Prompt tokens of recent requests, exponentially decayed as of `load_at`.
     load_tokens: f64,
     load_at: Duration,
-    /// When the prefill of the prompt at the head of the queue started.
-    head_started_at: Duration,
-    /// Whether that prompt arrived at an empty queue, so that its time to the first event includes
-    /// the latency.
-    found_queue_empty: bool,
+    /// Time of the latest first event.
+    first_event_at: Option<Duration>,
 }
 
 /// `Estimate` is the expected performance of a request on an engine.
@@ -124,15 +111,14 @@
             spec,
             runs: BTreeMap::new(),
             prefixes: PrefixCache::default(),
-            prefill_ms: INITIAL_RATE_WEIGHT_MS,
-            prefilled_tokens: INITIAL_RATE * INITIAL_RATE_WEIGHT_MS,
+            pending: BTreeMap::new(),
+            prefill_model: PrefillModel::default(),
+            interval_correction: IntervalCorrection::default(),
             memory_tokens: 0,
             output_tokens: 0,
-            prefill_tokens: 0,
             load_tokens: 0.0,
             load_at: Duration::ZERO,
-            head_started_at: Duration::ZERO,
-            found_queue_empty: true,
+            first_event_at: None,
         }
     }
 
@@ -144,7 +130,7 @@
     /// Returns the learnt prefill rate, in prompt tokens per millisecond.
     #[must_use]
     pub fn prefill_rate(&self) -> f64 {
-        (self.prefilled_tokens / self.prefill_ms).clamp(RATE_BOUNDS.0, RATE_BOUNDS.1)
+        self.prefill_model.rate()
     }
 
     /// Returns the number of requests that run or wait on the engine.
@@ -212,8 +198,8 @@
             copied_tokens,
             copying: self.copy_time(copied_tokens),
             wait: self.wait(now),
-            prefill_time: self.prefill_duration(u64::from(prefill_tokens)),
-            latency: self.prefill_duration(u64::from(LATENCY_TOKENS)),
+            prefill_time: self.prefill_model.duration(u64::from(prefill_tokens)),
+            latency: self.prefill_model.latency(),
             runs: self.runs.len(),
             rate: self.prefill_rate(),
             current_interval_ms: self.token_interval_ms(&Generation::default(), 0, now),
@@ -223,26 +209,26 @@
 
     /// Records that a request was sent to the engine, with `prefill` prompt tokens to prefill.
     pub fn start(&mut self, run: RunId, generation: &Generation, prefill: u32, now: Duration) {
-        if self.prefill_tokens == 0 {
-            self.head_started_at = now;
-            self.found_queue_empty = true;
-        }
         let memory_tokens = generation.memory_tokens();
         let entry = Run {
             memory_tokens,
             output_tokens: u64::from(generation.output_tokens),
             prefill: Some(prefill),
             since: now,
+            modelled_interval_ms: self.modelled_interval_ms(generation, prefill, now),
         };
+        let ready_at = now
+            + self.wait(now)
+            + self.prefill_model.duration(u64::from(prefill))
+            + self.prefill_model.latency();
         if self.runs.insert(run, entry).is_none() {
             self.memory_tokens += memory_tokens;
             self.output_tokens += u64::from(generation.output_tokens);
-            self.prefill_tokens += u64::from(prefill);
+            self.pending.insert((now, run), prefill);
             self.load_tokens = self.load_tokens(now) + f64::from(prefill);
             self.load_at = now;
         }
         let capacity = self.cache_capacity();
-        let ready_at = now + self.wait(now) + self.prefill_duration(u64::from(LATENCY_TOKENS));
         self.prefixes
             .touch(&generation.parts, capacity, ready_at, now);
     }
@@ -255,10 +241,28 @@
         let Some(prefill) = entry.prefill.take() else {
             return;
         };
-        self.prefill_tokens -= u64::from(prefill);
-        self.update_rate(prefill, now.saturating_sub(self.head_started_at));
-        self.head_started_at = now;
-        self.found_queue_empty = false;
+        let sent_at = entry.since;
+        self.pending.remove(&(sent_at, run));
+        // The prompt ahead was prefilled before its first event by the latency. The prompt has
+        // queued when it was sent before that moment.
+        let latency = self.prefill_model.latency();
+        let ahead = self
+            .first_event_at
+            .filter(|at| at.saturating_sub(latency) > sent_at);
+        let began_at = ahead.unwrap_or(sent_at);
+        let took = now.saturating_sub(began_at);
+        self.prefill_model.observe(prefill, took, ahead.is_some());
+        self.first_event_at = Some(now);
+    }
+
+    /// Records the mean interval between the events of a running stream.
+    pub fn record_event_interval(&mut self, run: RunId, interval: Duration) {
+        if let Some(entry) = self.runs.get(&run) {
+            let ms =
+                interval.as_secs_f64() * 1_000.0 / f64::from(self.spec.tokens_per_event.max(1));
+            self.interval_correction
+                .observe(ms, entry.modelled_interval_ms);
+        }
     }
 
     /// Returns whether a request runs or waits on the engine without a first event.
@@ -268,16 +272,13 @@
     }
 
     /// Records the end of a request.
-    pub fn end(&mut self, run: RunId, now: Duration) {
+    pub fn end(&mut self, run: RunId) {
         let Some(entry) = self.runs.remove(&run) else {
             return;
         };
         self.memory_tokens -= entry.memory_tokens;
         self.output_tokens -= entry.output_tokens;
-        if let Some(prefill) = entry.prefill {
-            self.prefill_tokens -= u64::from(prefill);
-            self.head_started_at = now;
-        }
+        self.pending.remove(&(entry.since, run));
     }
 
     /// Returns the time at which a run was sent to the engine.
@@ -297,21 +298,19 @@
         self.runs.range(RunId::all_of(origin)).map(|(id, _)| *id)
     }
 
-    /// Returns the prefill time of the queued prompts, less the time already spent on the first
-    /// one.
+    /// Returns the time until the engine has prefilled all prompts that were sent to it.
     fn wait(&self, now: Duration) -> Duration {
-        if self.prefill_tokens == 0 {
-            return Duration::ZERO;
+        let latency = self.prefill_model.latency();
+        let mut idle_at = self
+            .first_event_at
+            .map_or(Duration::ZERO, |at| at.saturating_sub(latency));
+        // A prompt whose first event has not arrived may be in prefill until the latency ago.
+        let min_end = now.saturating_sub(latency);
+        for ((sent_at, _), prefill) in &self.pending {
+            let ends_at = idle_at.max(*sent_at) + self.prefill_model.duration(u64::from(*prefill));
+            idle_at = ends_at.max(min_end);
         }
-        let head = self
-            .runs
-            .values()
-            .filter_map(|r| r.prefill.map(|tokens| (r.since, tokens)));
-        let head_tokens = head.min().map_or(0, |(_, prefill)| prefill);
-        let head_time = self.prefill_duration(u64::from(head_tokens));
-        let done = now.saturating_sub(self.head_started_at).min(head_time);
-        self.prefill_duration(self.prefill_tokens)
-            .saturating_sub(done)
+        idle_at.saturating_sub(now)
     }
 
     fn load_tokens(&self, now: Duration) -> f64 {
@@ -320,8 +319,13 @@
     }
 
     /// Returns the expected token interval after a request with `prefill` tokens to prefill is
-    /// added.
+    /// added, in milliseconds.
     fn token_interval_ms(&self, generation: &Generation, prefill: u32, now: Duration) -> f64 {
+        self.modelled_interval_ms(generation, prefill, now) * self.interval_correction.factor()
+    }
+
+    /// Returns the token interval by the model of decode and prefill steps, in milliseconds.
+    fn modelled_interval_ms(&self, generation: &Generation, prefill: u32, now: Duration) -> f64 {
         let runs = self.runs.len() as f64 + 1.0;
         let memory = (self.memory_tokens + generation.memory_tokens()) as f64;
         let step = STEP_TOKENS + STEP_TOKENS_PER_RUN * runs + STEP_TOKENS_PER_CACHED_TOKEN * memory;
@@ -349,23 +353,4 @@
         let link_bits_per_s = f64::from(self.spec.link_mbps.max(1)) * 1e6;
         COPY_SETUP + Duration::from_secs_f64(bits / link_bits_per_s)
     }
-
-    fn prefill_duration(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.prefill_rate() / 1_000.0)
-    }
-
-    /// Updates the prefill rate with the time of the prompt at the head of the queue. The prompts
-    /// of a busy period are averaged, because the prefill of several short ones can end in one
-    /// step.
-    fn update_rate(&mut self, tokens: u32, took: Duration) {
-        let latency = if self.found_queue_empty {
-            LATENCY_TOKENS
-        } else {
-            0
-        };
-        let ms = took.as_secs_f64() * 1_000.0;
-        let decay = (-ms / RATE_TIME_CONSTANT_MS).exp();
-        self.prefill_ms = self.prefill_ms * decay + ms;
-        self.prefilled_tokens = self.prefilled_tokens * decay + f64::from(tokens + latency);
-    }
 }
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -20,6 +20,8 @@
     Failed,
     /// The connection attempt failed.
     Unreachable,
+    /// The deadline of the request passed while its stream made progress.
+    TimeUp,
 }
 
 /// `Event` is one change of the fleet's load.
@@ -75,4 +77,13 @@
         /// The target.
         target: TargetName,
     },
+    /// The events of a stream followed each other at this mean interval.
+    EventInterval {
+        /// The run.
+        run: RunId,
+        /// The target on which it runs.
+        target: TargetName,
+        /// The interval, in microseconds.
+        us: u32,
+    },
 }
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use samphiresill_core::name::{CustomerName, TargetName};
+use samphiresill_core::name::{CustomerName, ServiceName, TargetName};
 use samphiresill_core::routing::{RoutingTable, TargetEntry};
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,7 @@
 use super::queueing::{Queue, QueueLimit};
 use super::request::{PlacementRequest, PromptPart, RunId};
 use super::shares::Shares;
+use super::shortest_objective::ShortestObjective;
 use super::token_interval::TokenIntervalTarget;
 
 /// Time for which the retry of a refused request is recognised as such.
@@ -65,6 +66,7 @@
     targets: BTreeMap<TargetName, Target>,
     shares: Shares,
     token_interval: TokenIntervalTarget,
+    shortest_objectives: BTreeMap<ServiceName, ShortestObjective>,
     queue_limit: QueueLimit,
     queue: Queue,
     swept_at: Duration,
@@ -85,6 +87,7 @@
             targets: BTreeMap::new(),
             shares: Shares::default(),
             token_interval: TokenIntervalTarget::default(),
+            shortest_objectives: BTreeMap::new(),
             queue_limit: QueueLimit::default(),
             queue: Queue::default(),
             swept_at: Duration::ZERO,
@@ -147,6 +150,21 @@
         }
     }
 
+    /// Records the mean interval between the events of a run of this router, before its end.
+    pub fn record_event_interval(
+        &mut self,
+        placement: &Placement,
+        interval: Duration,
+        now: Duration,
+    ) {
+        let event = Event::EventInterval {
+            run: placement.run,
+            target: placement.target.clone(),
+            us: u32::try_from(interval.as_micros()).unwrap_or(u32::MAX),
+        };
+        self.publish(event, now);
+    }
+
     /// Records the end and the outcome of a run of this router.
     pub fn end(&mut self, placement: &Placement, result: RunResult, now: Duration) {
         if let Some(target) = self.targets.get_mut(&placement.target) {
@@ -169,6 +187,7 @@
     /// routers.
     pub fn apply(&mut self, events: Vec<Event>, is_relayed: bool, now: Duration) {
         for event in events {
+            self.count_remote_demand(&event, now);
             self.apply_event(&event, now);
             if is_relayed {
                 self.outbox.push(event);
@@ -181,6 +200,18 @@
         self.shares.ratio(customer, now)
     }
 
+    /// Returns the recent demand of a customer, in weighted tokens, as of its last change.
+    #[must_use]
+    pub fn demand(&self, customer: &CustomerName) -> f64 {
+        self.shares.demand(customer)
+    }
+
+    /// Returns the token interval with which recent streams finish in time, in milliseconds.
+    #[must_use]
+    pub fn token_interval_target_ms(&self) -> f64 {
+        self.token_interval.ms()
+    }
+
     /// Returns the names and addresses of all engines.
     #[must_use]
     pub fn engines(&self) -> Vec<(TargetName, SocketAddr)> {
@@ -343,9 +374,6 @@
             } => {
                 if let (Some(customer), Some(generation)) = (customer, generation) {
                     self.shares.add_service(customer, generation.cost(), now);
-                    if run.origin != self.origin {
-                        self.shares.add_demand(customer, generation.cost(), now);
-                    }
                 }
                 if let Some(target) = self.targets.get_mut(target) {
                     let generation = generation.as_ref().map(|g| (g, *prefill_tokens));
@@ -366,21 +394,22 @@
                 result,
             } => {
                 if let Some(target) = self.targets.get_mut(target) {
-                    target.load.end(*run, now);
+                    if matches!(target.load, TargetLoad::Engine(_)) {
+                        self.token_interval.record_result(*result);
+                    }
+                    target.load.end(*run);
                     target.record_result(*result, now);
                 }
             }
-            Event::Refused {
-                fingerprint,
-                customer,
-                cost,
-            } => {
-                if let Some(customer) = customer {
-                    self.shares.add_demand(customer, *cost, now);
+            Event::Refused { fingerprint, .. } => self.record_refused(*fingerprint, now),
+            Event::Cached { target, parts } => self.add_cached(target, parts),
+            Event::EventInterval { run, target, us } => {
+                if let Some(TargetLoad::Engine(load)) =
+                    self.targets.get_mut(target).map(|t| &mut t.load)
+                {
+                    load.record_event_interval(*run, Duration::from_micros(u64::from(*us)));
                 }
-                self.record_refused(*fingerprint, now);
             }
-            Event::Cached { target, parts } => self.add_cached(target, parts),
             Event::Stalled { target } => {
                 if let Some(target) = self.targets.get_mut(target) {
                     target.health.reported_stalled(now);
@@ -389,6 +418,30 @@
         }
     }
 
+    /// Counts the demand of a request that another router has placed or refused. A request whose
+    /// refusal is known was counted with it.
+    fn count_remote_demand(&mut self, event: &Event, now: Duration) {
+        let (customer, cost) = match event {
+            Event::Started {
+                customer: Some(customer),
+                generation: Some(generation),
+                ..
+            } => {
+                if self.is_retry(place::fingerprint(Some(customer), generation), now) {
+                    return;
+                }
+                (customer, generation.cost())
+            }
+            Event::Refused {
+                customer: Some(customer),
+                cost,
+                ..
+            } => (customer, *cost),
+            _ => return,
+        };
+        self.shares.add_demand(customer, cost, now);
+    }
+
     fn is_retry(&self, fingerprint: u64, now: Duration) -> bool {
         let refused_at = self.refused.get(&fingerprint);
         refused_at.is_some_and(|at| now.saturating_sub(*at) < RETRY_WINDOW)
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -83,7 +83,7 @@
         let fingerprint = fingerprint(req.customer, generation);
         let is_retry = self.is_retry(fingerprint, now);
         let is_new = req.tried.is_empty() && !is_retry;
-        let is_first_attempt = is_new && req.waited.is_zero();
+        let is_first_attempt = is_new && req.is_first_attempt;
         // Other schedulers learn of the demand of a queued request only from its refusal, so the
         // cost also counts after queueing.
         let cost = if is_new { generation.cost() } else { 0 };
@@ -107,7 +107,7 @@
                 Ok(best)
             });
         let is_queued = matches!(&chosen, Err(refusal) if refusal.recheck_in.is_some());
-        if !req.waited.is_zero() && !is_queued {
+        if !req.is_first_attempt && !is_queued {
             self.queue_limit.observe(chosen.is_ok());
         }
         if chosen.is_err() && !is_queued {
@@ -133,8 +133,14 @@
         }
         let estimate = best.estimate.unwrap_or_default();
         let share_ratio = req.customer.map_or(0.0, |c| self.shares.ratio(c, now));
+        let shortest_objective = self
+            .shortest_objectives
+            .entry(req.service.clone())
+            .or_default()
+            .observe(req.latency_objective);
         admission::decide(&Candidate {
-            wait: estimate.wait,
+            wait: estimate.wait + estimate.latency,
+            shortest_objective,
             token_interval_ms: estimate.current_interval_ms,
             interval_target_ms: self.token_interval.ms(),
             latency_objective: req.latency_objective,
@@ -294,7 +300,10 @@
 }
 
 /// Returns a hash that identifies a request across retries: the same customer with the same prompt.
-fn fingerprint(customer: Option<&CustomerName>, generation: &Generation) -> u64 {
+pub(in crate::fleet) fn fingerprint(
+    customer: Option<&CustomerName>,
+    generation: &Generation,
+) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(customer.map_or("", |c| c).as_bytes());
     for part in &generation.parts {
--- a/samphiresill-sched/src/fleet/load/target.rs
+++ b/samphiresill-sched/src/fleet/load/target.rs
@@ -58,7 +58,7 @@
     /// Updates the health, and the latency of a plain service, with the outcome of a run.
     pub(super) fn record_result(&mut self, result: RunResult, now: Duration) {
         match result {
-            RunResult::Unknown => {}
+            RunResult::Unknown | RunResult::TimeUp => {}
             RunResult::Answered { ms } => {
                 self.health.record_success();
                 self.health.reported_alive(now);
@@ -90,9 +90,9 @@
         }
     }
 
-    pub(super) fn end(&mut self, run: RunId, now: Duration) {
+    pub(super) fn end(&mut self, run: RunId) {
         match self {
-            Self::Engine(load) => load.end(run, now),
+            Self::Engine(load) => load.end(run),
             Self::Plain(load) => load.end(run),
         }
     }
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -19,13 +19,16 @@
 pub mod engine;
 pub mod event;
 pub mod health;
+pub mod interval_correction;
 pub mod load;
 pub mod overload;
 pub mod plain;
+pub mod prefill;
 pub mod prefix;
 pub mod queueing;
 pub mod request;
 pub mod shares;
+pub mod shortest_objective;
 pub mod token_interval;
 
 #[cfg(test)]
--- a/samphiresill-sched/src/fleet/request.rs
+++ b/samphiresill-sched/src/fleet/request.rs
@@ -80,6 +80,9 @@
     pub domain: &'a DomainName,
     /// Targets that have already been tried.
     pub tried: &'a [TargetName],
+    /// Whether this is the first attempt to place the request: it was neither queued nor sent to a
+    /// target before.
+    pub is_first_attempt: bool,
     /// How long the request has been queued in its router.
     pub waited: Duration,
     /// Whether the request has run at least in part; such a request is not refused for load.
--- a/samphiresill-sched/src/fleet/shares.rs
+++ b/samphiresill-sched/src/fleet/shares.rs
@@ -50,6 +50,12 @@
         self.usage(customer, now).served += cost as f64;
     }
 
+    /// Returns the recent demand of a customer, in weighted tokens, as of its last change.
+    #[must_use]
+    pub fn demand(&self, customer: &CustomerName) -> f64 {
+        self.usages.get(customer).map_or(0.0, |u| u.demanded)
+    }
+
     /// Returns the service of a customer relative to the max-min fair level; 1 at the level.
     pub fn ratio(&mut self, customer: &CustomerName, now: Duration) -> f64 {
         for usage in self.usages.values_mut() {
--- a/samphiresill-sched/src/fleet/tests/decisions.rs
+++ b/samphiresill-sched/src/fleet/tests/decisions.rs
@@ -35,6 +35,7 @@
         token_interval_ms: case.token_interval_ms,
         interval_target_ms: 10.0,
         latency_objective: Duration::from_secs(1),
+        shortest_objective: Duration::from_secs(1),
         waited: Duration::ZERO,
         queue_delay: Duration::ZERO,
         queue_limit: QueueLimit::default(),
--- a/samphiresill-sched/src/fleet/tests/fleet_load.rs
+++ b/samphiresill-sched/src/fleet/tests/fleet_load.rs
@@ -109,7 +109,9 @@
     entries[0].state = TargetState::Draining;
     fleet_load.set_targets(&entries, &table());
     for number in 0..5 {
-        assert_eq!(place(&mut fleet_load, number, SECOND).target, entry(1).name);
+        let placement = place(&mut fleet_load, number, SECOND);
+        assert_eq!(placement.target, entry(1).name);
+        fleet_load.end(&placement, RunResult::Unknown, SECOND);
     }
 }
 
@@ -235,6 +237,7 @@
         ));
     }
     drop(fleet_load.take_events());
+    req.is_first_attempt = false;
     req.waited = SECOND / 2;
     let run = fleet_load.next_run();
     fleet_load
--- /dev/null
+++ b/samphiresill-sched/src/fleet/tests/learning.rs
@@ -0,0 +1,217 @@
+//! Tests of what is learnt from finished requests: prefill, intervals between tokens, objectives.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use samphiresill_core::name::DomainName;
+
+use super::simulation::{Request, fleet_load, service, spec};
+use crate::fleet::engine::EngineLoad;
+use crate::fleet::event::{Event, RunResult};
+use crate::fleet::interval_correction::IntervalCorrection;
+use crate::fleet::request::{Generation, RunId};
+use crate::fleet::shortest_objective::ShortestObjective;
+use crate::fleet::token_interval::TokenIntervalTarget;
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+struct Prefill {
+    tokens_per_ms: f64,
+    latency_ms: f64,
+    /// Mean time between requests, in milliseconds.
+    every_ms: f64,
+}
+
+/// Guards against a rate that is learnt several times too low because the first-event latency of a
+/// lightly loaded engine counts as prefill.
+#[rstest]
+#[case::long_latency_light_load(Prefill { tokens_per_ms: 92.0, latency_ms: 60.0, every_ms: 200.0 })]
+#[case::long_latency_half_load(Prefill { tokens_per_ms: 92.0, latency_ms: 60.0, every_ms: 40.0 })]
+#[case::long_latency_high_load(Prefill { tokens_per_ms: 92.0, latency_ms: 60.0, every_ms: 25.0 })]
+#[case::short_latency_light_load(Prefill { tokens_per_ms: 48.0, latency_ms: 14.0, every_ms: 200.0 })]
+#[case::short_latency_high_load(Prefill { tokens_per_ms: 48.0, latency_ms: 14.0, every_ms: 45.0 })]
+#[case::slow_engine(Prefill { tokens_per_ms: 20.0, latency_ms: 100.0, every_ms: 250.0 })]
+fn prefill_rate_and_latency_are_told_apart(#[case] case: Prefill) {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut engine = EngineLoad::new(spec());
+    let (mut now_ms, mut idle_at) = (1_000.0_f64, 0.0_f64);
+    // First events that have not been recorded yet, in order.
+    let mut first_events: Vec<(f64, RunId)> = Vec::new();
+    let at = |ms: f64| Duration::from_secs_f64(ms / 1_000.0);
+    for number in 0..300 {
+        now_ms += rng.random_range(0.0..2.0) * case.every_ms;
+        for (ms, run) in first_events.extract_if(.., |(ms, _)| *ms <= now_ms) {
+            engine.record_first_event(run, at(ms));
+            engine.end(run);
+        }
+        let run = RunId { origin: 1, number };
+        let tokens: u32 = rng.random_range(50..3_000);
+        let generation = Generation {
+            prompt_tokens: tokens,
+            ..Generation::default()
+        };
+        engine.start(run, &generation, tokens, at(now_ms));
+        idle_at = idle_at.max(now_ms) + f64::from(tokens) / case.tokens_per_ms;
+        first_events.push((idle_at + case.latency_ms, run));
+    }
+    let rate = engine.prefill_rate() / case.tokens_per_ms;
+    let estimate = engine.estimate(&Generation::default(), 0, at(now_ms + 5_000.0));
+    let latency = estimate.latency.as_secs_f64() * 1_000.0 / case.latency_ms;
+    assert!((0.75..1.35).contains(&rate), "{rate:.2} of the rate");
+    assert!((0.6..1.4).contains(&latency), "{latency:.2} of the latency");
+}
+
+/// An engine whose first event is late is not idle, although its prefill should be over.
+#[test]
+fn a_late_prompt_counts_until_its_first_event() {
+    let mut engine = EngineLoad::new(spec());
+    let generation = Generation::default();
+    let run = |number| RunId { origin: 1, number };
+    engine.start(run(0), &generation, 4_800, SECOND);
+    engine.start(run(1), &generation, 4_800, SECOND);
+    let wait = |engine: &EngineLoad, now| engine.estimate(&generation, 0, now).wait;
+    let later = SECOND + 500 * MS;
+    assert!(wait(&engine, later) > 50 * MS, "the second prompt is ahead");
+    engine.record_first_event(run(0), later);
+    engine.record_first_event(run(1), later + 100 * MS);
+    assert_eq!(wait(&engine, later + 101 * MS), Duration::ZERO);
+}
+
+struct Correction {
+    observed_ms: f64,
+    modelled_ms: f64,
+    expected_ms: f64,
+}
+
+#[rstest]
+#[case::slower(Correction { observed_ms: 12.0, modelled_ms: 6.0, expected_ms: 12.0 })]
+#[case::faster(Correction { observed_ms: 5.0, modelled_ms: 15.0, expected_ms: 5.0 })]
+#[case::bounded(Correction { observed_ms: 900.0, modelled_ms: 3.0, expected_ms: 15.0 })]
+#[case::nothing_observed(Correction { observed_ms: 0.0, modelled_ms: 6.0, expected_ms: 6.0 })]
+fn intervals_are_corrected(#[case] case: Correction) {
+    let mut correction = IntervalCorrection::default();
+    for _ in 0..100 {
+        correction.observe(case.observed_ms, case.modelled_ms);
+    }
+    let corrected = case.modelled_ms * correction.factor();
+    assert!(
+        (corrected / case.expected_ms - 1.0).abs() < 0.02,
+        "{corrected}"
+    );
+}
+
+/// Offers requests with these output tokens and 10 s of time, in turn, and returns the target in
+/// milliseconds.
+fn interval_target_ms(outputs: &[u32]) -> f64 {
+    let mut target = TokenIntervalTarget::default();
+    let (service, domain) = (service(), DomainName::from("d0"));
+    for _ in 0..400 {
+        for output in outputs {
+            let mut request = Request::new("a", (1, 100), (2, 100), *output);
+            request.timeout = 10 * SECOND;
+            target.observe(&request.placement_request(&service, &domain));
+        }
+    }
+    target.ms()
+}
+
+/// Many short streams do not hide that the few long ones, which occupy the engine, need a token
+/// every 13 ms.
+#[test]
+fn the_interval_target_follows_the_streams_that_occupy_an_engine() {
+    let mut outputs = vec![5; 29];
+    outputs.push(600);
+    let target = interval_target_ms(&outputs);
+    assert!((8.0..16.0).contains(&target), "{target:.1} ms");
+    let target = interval_target_ms(&[5; 10]);
+    assert!(target > 40.0, "{target:.1} ms with short streams only");
+}
+
+/// When streams run out of time, the target falls, also below what their requests stated.
+#[test]
+fn streams_that_run_out_of_time_lower_the_interval_target() {
+    let mut target = TokenIntervalTarget::default();
+    let initial = target.ms();
+    for number in 0..100 {
+        let is_late = number % 5 == 0;
+        let answered = RunResult::Answered { ms: 100 };
+        target.record_result(if is_late { RunResult::TimeUp } else { answered });
+    }
+    let lowered = target.ms();
+    assert!(lowered < initial * 0.6, "{lowered:.1} of {initial:.1} ms");
+    for _ in 0..2_000 {
+        target.record_result(RunResult::Answered { ms: 100 });
+    }
+    assert!((target.ms() / initial - 1.0).abs() < 0.01);
+}
+
+/// The shortest objective in use bounds the queue for all, and is forgotten when it is not in use.
+#[test]
+fn the_shortest_objective_is_followed() {
+    let mut shortest = ShortestObjective::default();
+    assert_eq!(shortest.observe(SECOND), SECOND);
+    assert_eq!(shortest.observe(400 * MS), 400 * MS);
+    for _ in 0..50 {
+        assert!(shortest.observe(SECOND) < 500 * MS);
+    }
+    for _ in 0..1_000 {
+        shortest.observe(SECOND);
+    }
+    assert_eq!(shortest.observe(2 * SECOND).as_millis() / 100, 10);
+}
+
+/// Guards against demand that counts twice: at the scheduler that places the request of another
+/// router, and for a request that was refused by one scheduler and then placed by another.
+#[test]
+fn schedulers_count_the_demand_of_a_request_once() {
+    let (service, domain) = (service(), DomainName::from("d0"));
+    let demands = |has_retry: bool| {
+        let (mut one, mut two) = (fleet_load(1, 1), fleet_load(2, 1));
+        // Customer a is served 40 times; b is refused by one scheduler and served by the other.
+        for number in 0..40 {
+            let request = Request::new("a", (number, 100), (number + 100, 100), 1);
+            let run = RunId {
+                origin: 9,
+                number: number as u32,
+            };
+            let req = request.placement_request(&service, &domain);
+            let placement = one.place(&req, run, 0.5, SECOND).expect("a placement");
+            one.end(&placement, RunResult::Unknown, SECOND);
+        }
+        two.apply(one.take_events(), false, SECOND);
+        let request = Request::new("b", (500, 400), (501, 400), 1);
+        let fingerprint =
+            crate::fleet::load::place::fingerprint(Some(&request.customer), &request.generation);
+        if has_retry {
+            let refused = Event::Refused {
+                fingerprint,
+                customer: Some(request.customer.clone()),
+                cost: request.generation.cost(),
+            };
+            two.apply(vec![refused], false, SECOND);
+        }
+        let started = Event::Started {
+            run: RunId {
+                origin: 9,
+                number: 99,
+            },
+            target: "e0".into(),
+            customer: Some(request.customer.clone()),
+            generation: Some(request.generation.clone()),
+            prefill_tokens: 800,
+        };
+        two.apply(vec![started], false, SECOND);
+        let demand = |load: &crate::fleet::load::FleetLoad, name: &str| load.demand(&name.into());
+        (demand(&one, "a"), demand(&two, "a"), demand(&two, "b"))
+    };
+    let (placed, heard, once) = demands(false);
+    assert!((placed / heard - 1.0).abs() < 0.01, "{placed} {heard}");
+    let (_, _, with_retry) = demands(true);
+    assert!(
+        (once / with_retry - 1.0).abs() < 0.01,
+        "{once} {with_retry}"
+    );
+}
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -3,5 +3,6 @@
 
 mod decisions;
 mod fleet_load;
+mod learning;
 mod patterns;
 mod simulation;
--- a/samphiresill-sched/src/fleet/tests/simulation.rs
+++ b/samphiresill-sched/src/fleet/tests/simulation.rs
@@ -119,6 +119,7 @@
             time_left: self.timeout,
             domain,
             tried: &[],
+            is_first_attempt: true,
             waited: Duration::ZERO,
             has_run: false,
         }
