--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode, http};
 use samphiresill_attempt::failure::{self, FailureContext, FailurePoint, Verdict};
@@ -18,6 +19,7 @@
 use super::request_context::RequestContext;
 use super::response::{self, ResponseBody};
 use super::stream;
+use crate::body_budget::Reservation;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::log_budget::Kind;
 use crate::metrics;
@@ -32,6 +34,8 @@
 /// Timeout for the response head of a stream when another attempt may follow, in multiples of the
 /// latency objective: callers abandon a stream after four.
 const STREAM_HEAD_TIMEOUT_FACTOR: f64 = 2.5;
+/// Maximum size of a response that is read as a whole; streams have no limit.
+const MAX_BODY_BYTES: usize = 8 << 20;
 /// Value of `Retry-After` when targets refused the request or could not be reached.
 const TARGETS_BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -299,10 +303,10 @@
         connection,
     } = response;
     let time_left = ctx.time_left(gateway.clock.monotonic());
-    let read = tokio::time::timeout(time_left, body.collect()).await;
+    let mut reservation = gateway.body_budget.new_reservation();
+    let read = tokio::time::timeout(time_left, read_body(body, &mut reservation)).await;
     let timed_out = |_| Failure::new(FailurePoint::Silence, "the body did not arrive in time");
-    let truncated = |e: hyper::Error| Failure::new(FailurePoint::DuringAnswer, e.to_string());
-    let bytes = read.map_err(timed_out)?.map_err(truncated)?.to_bytes();
+    let bytes = read.map_err(timed_out)??;
     let placement = &run.placement;
     gateway
         .target_pool
@@ -335,6 +339,25 @@
     Ok(forward_response(head, ResponseBody::full(bytes)))
 }
 
+/// Reads a body to its end, within the memory budget: a faulty target may write without end.
+async fn read_body(mut body: Incoming, reservation: &mut Reservation) -> Result<Bytes, Failure> {
+    let failed = |cause: String| Failure::new(FailurePoint::DuringAnswer, cause);
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(chunk) = frame.map_err(|e| failed(e.to_string()))?.into_data() else {
+            continue;
+        };
+        if buf.len() + chunk.len() > MAX_BODY_BYTES {
+            return Err(failed(format!("the body exceeds {MAX_BODY_BYTES} bytes")));
+        }
+        if !reservation.grow(chunk.len()) {
+            return Err(failed("no memory for the body".to_owned()));
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
+
 /// Result of a failed attempt that is reported to the fleet load.
 fn run_result(failure: &Failure) -> RunResult {
     match failure.point {
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -204,14 +204,14 @@
     fn handle_poll(&mut self, polled: BodyPoll) -> Step {
         let during_response = |cause| Failure::new(FailurePoint::DuringAnswer, cause);
         match polled {
-            BodyPoll::Bytes(bytes) => {
-                self.record_progress();
-                match self.take_complete_events(&bytes) {
-                    Ok(bytes) if bytes.is_empty() => Step::Continue,
-                    Ok(bytes) => Step::Deliver(bytes),
-                    Err(cause) => self.fail(during_response(cause)),
+            BodyPoll::Bytes(bytes) => match self.take_complete_events(&bytes) {
+                Ok(bytes) if bytes.is_empty() => self.handle_lack_of_events(),
+                Ok(bytes) => {
+                    self.record_progress();
+                    Step::Deliver(bytes)
                 }
-            }
+                Err(cause) => self.fail(during_response(cause)),
+            },
             BodyPoll::Complete if self.splitter.has_partial_event() => {
                 self.fail(during_response("the stream ended within an event"))
             }
@@ -233,12 +233,10 @@
             if time_left.is_zero() {
                 return Poll::Ready(BodyPoll::TimeUp);
             }
-            let silent_at = self.progress_at + self.pause() * SILENCE_TIMEOUT_PAUSES;
+            let silent_at = self.silent_at();
             let wait = if self.is_resumable {
                 if now >= silent_at {
-                    let cause = "no event for too long";
-                    let failure = Failure::new(FailurePoint::Silence, cause);
-                    return Poll::Ready(BodyPoll::Failed(failure));
+                    return Poll::Ready(BodyPoll::Failed(no_event_failure()));
                 }
                 time_left.min(silent_at.saturating_sub(now))
             } else {
@@ -248,6 +246,24 @@
         }
     }
 
+    /// Ends a run that sends bytes but no new event, as if it were silent. The timer alone would not
+    /// do: it is polled only while no bytes are there.
+    fn handle_lack_of_events(&mut self) -> Step {
+        let now = self.gateway.clock.monotonic();
+        if self.ctx.time_left(now).is_zero() {
+            return Step::Abort(self.abort("time is up"));
+        }
+        if self.is_resumable && now >= self.silent_at() {
+            return self.fail(no_event_failure());
+        }
+        Step::Continue
+    }
+
+    /// Time at which the run counts as silent.
+    fn silent_at(&self) -> Duration {
+        self.progress_at + self.pause() * SILENCE_TIMEOUT_PAUSES
+    }
+
     /// Returns the bytes that may be delivered now. Of a resumable stream, these are complete
     /// events that were not delivered before.
     fn take_complete_events(&mut self, bytes: &Bytes) -> Result<Bytes, &'static str> {
@@ -466,6 +482,10 @@
     }
 }
 
+fn no_event_failure() -> Failure {
+    Failure::new(FailurePoint::Silence, "no event for too long")
+}
+
 fn poll_body(mut body: Pin<&mut Incoming>, cx: &mut Context<'_>) -> Poll<BodyPoll> {
     loop {
         return Poll::Ready(match ready!(body.as_mut().poll_frame(cx)) {
--- a/samphiresill-sched/src/fleet/tests/learning.rs
+++ b/samphiresill-sched/src/fleet/tests/learning.rs
@@ -19,30 +19,33 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 struct Prefill {
-    tokens_per_ms: f64,
-    latency_ms: f64,
-    /// Mean time between requests, in milliseconds.
-    every_ms: f64,
+    /// Prompt tokens per millisecond.
+    rate: f64,
+    latency: Duration,
+    /// Mean time between requests.
+    interval: Duration,
 }
 
 /// Guards against a rate that is learnt several times too low because the first-event latency of a
 /// lightly loaded engine counts as prefill.
 #[rstest]
-#[case::long_latency_light_load(Prefill { tokens_per_ms: 92.0, latency_ms: 60.0, every_ms: 200.0 })]
-#[case::long_latency_half_load(Prefill { tokens_per_ms: 92.0, latency_ms: 60.0, every_ms: 40.0 })]
-#[case::long_latency_high_load(Prefill { tokens_per_ms: 92.0, latency_ms: 60.0, every_ms: 25.0 })]
-#[case::short_latency_light_load(Prefill { tokens_per_ms: 48.0, latency_ms: 14.0, every_ms: 200.0 })]
-#[case::short_latency_high_load(Prefill { tokens_per_ms: 48.0, latency_ms: 14.0, every_ms: 45.0 })]
-#[case::slow_engine(Prefill { tokens_per_ms: 20.0, latency_ms: 100.0, every_ms: 250.0 })]
+#[case::long_latency_light_load(Prefill { rate: 92.0, latency: MS * 60, interval: MS * 200 })]
+#[case::long_latency_half_load(Prefill { rate: 92.0, latency: MS * 60, interval: MS * 40 })]
+#[case::long_latency_high_load(Prefill { rate: 92.0, latency: MS * 60, interval: MS * 25 })]
+#[case::short_latency_light_load(Prefill { rate: 48.0, latency: MS * 14, interval: MS * 200 })]
+#[case::short_latency_high_load(Prefill { rate: 48.0, latency: MS * 14, interval: MS * 45 })]
+#[case::slow_engine(Prefill { rate: 20.0, latency: MS * 100, interval: MS * 250 })]
 fn prefill_rate_and_latency_are_told_apart(#[case] case: Prefill) {
     let mut rng = StdRng::seed_from_u64(3);
     let mut engine = EngineLoad::new(spec());
     let (mut now_ms, mut idle_at) = (1_000.0_f64, 0.0_f64);
     // First events that have not been recorded yet, in order.
     let mut first_events: Vec<(f64, RunId)> = Vec::new();
+    let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
+    let (latency_ms, interval_ms) = (ms(case.latency), ms(case.interval));
     let at = |ms: f64| Duration::from_secs_f64(ms / 1_000.0);
     for number in 0..300 {
-        now_ms += rng.random_range(0.0..2.0) * case.every_ms;
+        now_ms += rng.random_range(0.0..2.0) * interval_ms;
         for (ms, run) in first_events.extract_if(.., |(ms, _)| *ms <= now_ms) {
             engine.record_first_event(run, at(ms));
             engine.end(run);
@@ -54,12 +57,12 @@
             ..Generation::default()
         };
         engine.start(run, &generation, tokens, at(now_ms));
-        idle_at = idle_at.max(now_ms) + f64::from(tokens) / case.tokens_per_ms;
-        first_events.push((idle_at + case.latency_ms, run));
+        idle_at = idle_at.max(now_ms) + f64::from(tokens) / case.rate;
+        first_events.push((idle_at + latency_ms, run));
     }
-    let rate = engine.prefill_rate() / case.tokens_per_ms;
+    let rate = engine.prefill_rate() / case.rate;
     let estimate = engine.estimate(&Generation::default(), 0, at(now_ms + 5_000.0));
-    let latency = estimate.latency.as_secs_f64() * 1_000.0 / case.latency_ms;
+    let latency = ms(estimate.latency) / latency_ms;
     assert!((0.75..1.35).contains(&rate), "{rate:.2} of the rate");
     assert!((0.6..1.4).contains(&latency), "{latency:.2} of the latency");
 }
@@ -81,24 +84,25 @@
 }
 
 struct Correction {
-    observed_ms: f64,
-    modelled_ms: f64,
-    expected_ms: f64,
+    /// Intervals in milliseconds.
+    observed: f64,
+    modelled: f64,
+    corrected: f64,
 }
 
 #[rstest]
-#[case::slower(Correction { observed_ms: 12.0, modelled_ms: 6.0, expected_ms: 12.0 })]
-#[case::faster(Correction { observed_ms: 5.0, modelled_ms: 15.0, expected_ms: 5.0 })]
-#[case::bounded(Correction { observed_ms: 900.0, modelled_ms: 3.0, expected_ms: 15.0 })]
-#[case::nothing_observed(Correction { observed_ms: 0.0, modelled_ms: 6.0, expected_ms: 6.0 })]
+#[case::slower(Correction { observed: 12.0, modelled: 6.0, corrected: 12.0 })]
+#[case::faster(Correction { observed: 5.0, modelled: 15.0, corrected: 5.0 })]
+#[case::bounded(Correction { observed: 900.0, modelled: 3.0, corrected: 15.0 })]
+#[case::nothing_observed(Correction { observed: 0.0, modelled: 6.0, corrected: 6.0 })]
 fn intervals_are_corrected(#[case] case: Correction) {
     let mut correction = IntervalCorrection::default();
     for _ in 0..100 {
-        correction.observe(case.observed_ms, case.modelled_ms);
+        correction.observe(case.observed, case.modelled);
     }
-    let corrected = case.modelled_ms * correction.factor();
+    let corrected = case.modelled * correction.factor();
     assert!(
-        (corrected / case.expected_ms - 1.0).abs() < 0.02,
+        (corrected / case.corrected - 1.0).abs() < 0.02,
         "{corrected}"
     );
 }
--- a/samphiresill-sched/src/fleet/token_interval.rs
+++ b/samphiresill-sched/src/fleet/token_interval.rs
@@ -19,7 +19,7 @@
 const BOUNDS_MS: (f64, f64) = (4.0, 60.0);
 /// Fraction of the remaining time in which a stream should finish; the rest is a margin, because
 /// the estimate of its length is rough.
-const TIME_FRACTION: f64 = 0.8;
+const TIME_FRACTION: f64 = 0.7;
 
 /// Weight of a new request in the mean output.
 const MEAN_WEIGHT: f64 = 0.02;
