--- a/samphiresill-gateway/src/callers/mod.rs
+++ b/samphiresill-gateway/src/callers/mod.rs
@@ -66,8 +66,9 @@
             let gateway = Arc::clone(&gateway);
             let is_occupancy_high = occupancy.exceeds(HIGH_OCCUPANCY);
             async move {
-                let mut response = relay::handle(gateway, req).await;
-                if is_occupancy_high {
+                let mut response = relay::handle(Arc::clone(&gateway), req).await;
+                // A caller that keeps its connection would send the next request into the stop.
+                if is_occupancy_high || gateway.is_stopping() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -185,10 +185,16 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Whether a planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
     /// Whether the load balancer should route callers to this gateway.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.load(Ordering::Acquire)
+        !self.is_stopping()
             && self.routing_state.table().is_some()
             && !self
                 .stream_limiter()
--- a/samphiresill-gateway/src/listener.rs
+++ b/samphiresill-gateway/src/listener.rs
@@ -1,12 +1,13 @@
 //! A TCP listener with a limit on concurrent connections and graceful shutdown.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -77,7 +78,7 @@
         Ok(Self { closing, occupancy })
     }
 
-    /// Stops accepting connections and signals the open ones to close.
+    /// Stops accepting connections, except those that already wait, and signals the open ones to close.
     pub fn close(&self) {
         self.closing.send_replace(true);
     }
@@ -99,30 +100,69 @@
     F: Future<Output = ()> + Send + 'static,
 {
     loop {
-        let Ok(permit) = Arc::clone(&occupancy.free).acquire_owned().await else {
+        let permit = tokio::select! {
+            permit = Arc::clone(&occupancy.free).acquire_owned() => permit,
+            Ok(()) = closing.changed() => break,
+        };
+        let Ok(permit) = permit else {
             return;
         };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             // When the `Listener` is dropped without `close`, the loop continues to accept.
-            Ok(()) = closing.changed() => return,
+            Ok(()) = closing.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let connection = serve(Accepted {
-                    stream,
-                    closing: closing.clone(),
-                    occupancy: occupancy.clone(),
-                });
-                tokio::spawn(async move {
-                    connection.await;
-                    drop(permit);
-                });
-            }
+            Ok((stream, _)) => spawn_connection(stream, permit, &closing, &occupancy, &serve),
             Err(e) => {
                 log::warn!(purpose, error:% = e; "accept failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    if let Err(e) = serve_waiting(listener, &closing, &occupancy, &serve) {
+        log::debug!(purpose, error:% = e; "no more connections wait");
+    }
+}
+
+/// Serves the connections that the kernel has accepted before the listener closes; closing the
+/// socket would reset them, with requests that the callers have sent.
+fn serve_waiting<F>(
+    listener: TcpListener,
+    closing: &watch::Receiver<bool>,
+    occupancy: &Occupancy,
+    serve: &impl Fn(Accepted) -> F,
+) -> io::Result<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    // The runtime may not have noticed the connections yet; the socket itself knows them.
+    let listener = listener.into_std()?;
+    while let Ok(permit) = Arc::clone(&occupancy.free).try_acquire_owned() {
+        let (stream, _) = listener.accept()?;
+        stream.set_nonblocking(true)?;
+        let stream = TcpStream::from_std(stream)?;
+        spawn_connection(stream, permit, closing, occupancy, serve);
+    }
+    Ok(())
+}
+
+fn spawn_connection<F>(
+    stream: TcpStream,
+    permit: OwnedSemaphorePermit,
+    closing: &watch::Receiver<bool>,
+    occupancy: &Occupancy,
+    serve: &impl Fn(Accepted) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let connection = serve(Accepted {
+        stream,
+        closing: closing.clone(),
+        occupancy: occupancy.clone(),
+    });
+    tokio::spawn(async move {
+        connection.await;
+        drop(permit);
+    });
 }
--- a/samphiresill-gateway/src/tests/mod.rs
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -4,5 +4,6 @@
 mod directory;
 mod events;
 mod frames;
+mod listener;
 mod pool;
 mod settings;
