--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -233,13 +233,14 @@
             };
             let expected = load.expected_latency();
             let cost = expected.as_secs_f64() * 1_000.0 + domain_cost_ms(req.domain, &target.entry);
-            Some((cost, target, expected))
+            Some((cost, target, expected, load.has_free_slot()))
         });
-        let Some((_, target, expected)) = costs.min_by(|a, b| a.0.total_cmp(&b.0)) else {
+        let Some((_, target, expected, has_free_slot)) = costs.min_by(|a, b| a.0.total_cmp(&b.0))
+        else {
             let retry_after = admission::retry_after(NO_TARGET_RETRY_AFTER, req.time_left, jitter);
             return Err(Refusal::new(Reason::NoTarget, retry_after));
         };
-        if expected > req.time_left {
+        if expected > req.time_left && !has_free_slot {
             let retry_after = admission::retry_after(expected, req.time_left, jitter);
             return Err(Refusal::new(Reason::Wait, retry_after));
         }
--- a/samphiresill-sched/src/fleet/plain.rs
+++ b/samphiresill-sched/src/fleet/plain.rs
@@ -3,6 +3,10 @@
 //! Handles the load pattern in which short requests with tight latency objectives share targets
 //! with few slots and different speeds: each request goes to the target where it is expected to
 //! finish first.
+//!
+//! Also handles the load pattern in which requests pile up and then stop: the average is of the time
+//! that a request takes on an idle target, and a target with a free slot is never refused for it, so
+//! that a high average is corrected by the next requests instead of refusing them all.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -43,11 +47,22 @@
     /// Returns the expected latency of a new request.
     #[must_use]
     pub fn expected_latency(&self) -> Duration {
+        Duration::from_secs_f64(self.latency_ms * self.load_factor() / 1_000.0)
+    }
+
+    /// Returns whether a new request would start at once.
+    #[must_use]
+    pub fn has_free_slot(&self) -> bool {
+        self.runs.len() < self.slots as usize
+    }
+
+    /// Returns the factor on the latency by the requests that run or wait on the target.
+    fn load_factor(&self) -> f64 {
         let ahead = (self.runs.len() + 1).saturating_sub(self.slots as usize) as f64;
         let queue_rounds = 1.0 + ahead / f64::from(self.slots);
         // The latency of a request grows with the utilisation of the slots.
         let contention = 1.0 + 0.5 * self.runs.len() as f64 / f64::from(self.slots);
-        Duration::from_secs_f64(self.latency_ms * queue_rounds * contention / 1_000.0)
+        queue_rounds * contention
     }
 
     /// Records that a request was sent to the target.
@@ -60,9 +75,10 @@
         self.runs.remove(&run);
     }
 
-    /// Updates the average latency with the time from sending a request to its response.
+    /// Updates the average latency with the time from sending a request to its response, less the
+    /// part that is due to the other requests on the target.
     pub fn observe(&mut self, took: Duration) {
-        let sample = took.as_secs_f64() * 1_000.0;
+        let sample = took.as_secs_f64() * 1_000.0 / self.load_factor();
         self.latency_ms += (sample - self.latency_ms) * EWMA_WEIGHT;
     }
 
--- a/samphiresill-sched/src/fleet/tests/learning.rs
+++ b/samphiresill-sched/src/fleet/tests/learning.rs
@@ -219,3 +219,49 @@
         "{once} {with_retry}"
     );
 }
+
+/// Guards against a collapse that outlives its cause: latencies that a pile-up of requests has raised
+/// beyond every deadline, so that all later requests are refused and nothing corrects them.
+#[test]
+fn a_plain_service_serves_again_after_a_pile_up() {
+    let mut fleet_load = fleet_load(1, 1);
+    let mut desk = super::simulation::entry(5);
+    desk.service = "desk".into();
+    desk.slots = 6;
+    let table = super::simulation::table();
+    fleet_load.set_targets(&[desk], &table);
+    let (desk, domain) = ("desk".into(), DomainName::from("d0"));
+    let request = Request::new("a", (1, 0), (2, 0), 0);
+    let mut now = SECOND;
+    let offer = |fleet_load: &mut crate::fleet::load::FleetLoad, now| {
+        let mut req = request.placement_request(&desk, &domain);
+        req.generation = None;
+        req.time_left = 1_500 * MS;
+        let run = fleet_load.next_run();
+        fleet_load.place(&req, run, 0.5, now)
+    };
+    // Many requests at once, all of which take longer than their deadline.
+    for _ in 0..20 {
+        let placed: Vec<_> = (0..40)
+            .map_while(|_| offer(&mut fleet_load, now).ok())
+            .collect();
+        now += 3 * SECOND;
+        for placement in placed {
+            fleet_load.end(&placement, RunResult::Answered { ms: 3_000 }, now);
+        }
+    }
+    // The target is fast again.
+    let mut refused = 0;
+    for _ in 0..200 {
+        now += 60 * MS;
+        match offer(&mut fleet_load, now) {
+            Ok(placement) => {
+                fleet_load.end(&placement, RunResult::Answered { ms: 60 }, now + 50 * MS)
+            }
+            Err(_) => refused += 1,
+        }
+    }
+    assert_eq!(refused, 0, "of 200 requests to an idle target");
+    let expected = offer(&mut fleet_load, now).expect("a placement").expected;
+    assert!(expected < 100 * MS, "{expected:?}");
+}
