--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -52,7 +52,7 @@
 /// `Basis` holds the inputs of a refusal, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Basis {
-    /// Wait at the best engine.
+    /// Wait at the best engine, with its first-event latency.
     pub wait: Duration,
     /// Token interval of the streams on that engine, in milliseconds.
     pub token_interval_ms: f64,
