--- a/samphiresill-sched/src/fleet/tests/learning.rs
+++ b/samphiresill-sched/src/fleet/tests/learning.rs
@@ -256,7 +256,7 @@
         now += 60 * MS;
         match offer(&mut fleet_load, now) {
             Ok(placement) => {
-                fleet_load.end(&placement, RunResult::Answered { ms: 60 }, now + 50 * MS)
+                fleet_load.end(&placement, RunResult::Answered { ms: 60 }, now + 50 * MS);
             }
             Err(_) => refused += 1,
         }
