--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -207,8 +207,12 @@
         }
     }
 
-    /// Records that a request was sent to the engine, with `prefill` prompt tokens to prefill.
+    /// Records that a request was sent to the engine, with `prefill` prompt tokens to prefill. A
+    /// report of a run that is known already changes nothing.
     pub fn start(&mut self, run: RunId, generation: &Generation, prefill: u32, now: Duration) {
+        if self.runs.contains_key(&run) {
+            return;
+        }
         let memory_tokens = generation.memory_tokens();
         let entry = Run {
             memory_tokens,
@@ -221,13 +225,12 @@
             + self.wait(now)
             + self.prefill_model.duration(u64::from(prefill))
             + self.prefill_model.latency();
-        if self.runs.insert(run, entry).is_none() {
-            self.memory_tokens += memory_tokens;
-            self.output_tokens += u64::from(generation.output_tokens);
-            self.pending.insert((now, run), prefill);
-            self.load_tokens = self.load_tokens(now) + f64::from(prefill);
-            self.load_at = now;
-        }
+        self.runs.insert(run, entry);
+        self.memory_tokens += memory_tokens;
+        self.output_tokens += u64::from(generation.output_tokens);
+        self.pending.insert((now, run), prefill);
+        self.load_tokens = self.load_tokens(now) + f64::from(prefill);
+        self.load_at = now;
         let capacity = self.cache_capacity();
         self.prefixes
             .touch(&generation.parts, capacity, ready_at, now);
--- a/samphiresill-sched/src/fleet/tests/learning.rs
+++ b/samphiresill-sched/src/fleet/tests/learning.rs
@@ -83,6 +83,24 @@
     assert_eq!(wait(&engine, later + 101 * MS), Duration::ZERO);
 }
 
+/// Guards against a datagram that the network duplicates: the run must not stay pending for good.
+#[test]
+fn a_run_that_is_reported_twice_is_pending_once() {
+    let mut engine = EngineLoad::new(spec());
+    let generation = Generation::default();
+    let run = |number| RunId { origin: 1, number };
+    engine.start(run(1), &generation, 4_800, SECOND);
+    engine.start(run(1), &generation, 4_800, SECOND + 5 * MS);
+    engine.record_first_event(run(1), SECOND + 150 * MS);
+    engine.end(run(1));
+    engine.start(run(2), &generation, 4_800, SECOND * 2);
+    let later = SECOND * 2 + 150 * MS;
+    engine.record_first_event(run(2), later);
+    engine.end(run(2));
+    let estimate = engine.estimate(&generation, 0, later);
+    assert_eq!((estimate.wait, estimate.runs), (Duration::ZERO, 0));
+}
+
 struct Correction {
     /// Intervals in milliseconds.
     observed: f64,
