--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -132,6 +132,10 @@
             return Ok(());
         }
         let estimate = best.estimate.unwrap_or_default();
+        // Only its next requests can correct what was learnt of an engine.
+        if estimate.runs == 0 {
+            return Ok(());
+        }
         let share_ratio = req.customer.map_or(0.0, |c| self.shares.ratio(c, now));
         let shortest_objective = self
             .shortest_objectives
--- a/samphiresill-sched/src/fleet/tests/learning.rs
+++ b/samphiresill-sched/src/fleet/tests/learning.rs
@@ -83,6 +83,28 @@
     assert_eq!(wait(&engine, later + 101 * MS), Duration::ZERO);
 }
 
+/// Guards against a collapse that outlives its cause: intervals learnt under congestion that make
+/// even idle engines seem too slow, so that all is refused and nothing corrects them.
+#[test]
+fn an_idle_engine_is_not_refused_for_what_was_learnt() {
+    let mut fleet_load = fleet_load(1, 1);
+    let (service, domain) = (service(), DomainName::from("d0"));
+    let request = Request::new("a", (1, 900), (2, 900), 300);
+    let req = request.placement_request(&service, &domain);
+    let mut now = SECOND;
+    for _ in 0..400 {
+        let run = fleet_load.next_run();
+        let placement = fleet_load
+            .place(&req, run, 0.5, now)
+            .expect("an idle engine accepts a request");
+        now += 200 * MS;
+        fleet_load.progress(&placement, now);
+        now += 2 * SECOND;
+        fleet_load.record_event_interval(&placement, SECOND, now);
+        fleet_load.end(&placement, RunResult::TimeUp, now);
+    }
+}
+
 /// Guards against a datagram that the network duplicates: the run must not stay pending for good.
 #[test]
 fn a_run_that_is_reported_twice_is_pending_once() {
