--- a/samphiresill-tests/src/lib.rs
+++ b/samphiresill-tests/src/lib.rs
@@ -4,7 +4,7 @@
 //! --workspace` has to be run before.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -13,6 +13,7 @@
 
 use samphiresill_core::name::KeyHash;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 /// API key of the operator.
 pub const OPERATOR_KEY: &str = "operator-test-key";
@@ -282,10 +283,13 @@
         command.args(["--listen", &address.to_string()]).args(args);
         let log = self.dir.join(format!("{kind}-{}.log", address.port()));
         let log = File::create(log).expect("failed to create a log file");
-        self.standins.push(spawn(&mut command, log.into()));
+        let mut standin = spawn(&mut command, log.into());
         wait_until("a stand-in accepts connections", || {
+            let exited = standin.child.try_wait().expect("failed to wait");
+            assert_eq!(exited, None, "the {kind} stand-in on {address} exited");
             std::net::TcpStream::connect(address).is_ok()
         });
+        self.standins.push(standin);
     }
 
     fn start_routers(&mut self, count: usize) {
@@ -453,17 +457,22 @@
 /// program binds it.
 ///
 /// # Panics
-/// Panics if the address of a bound socket cannot be read.
+/// Panics if a socket cannot be created.
 #[must_use]
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let base = 10_000 + (std::process::id() % 150) as u16 * 100;
     loop {
         let port = base + NEXT.fetch_add(1, Ordering::Relaxed) % 7_000;
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener
-                .local_addr()
-                .expect("failed to get the socket address");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let probe = Socket::new(Domain::IPV4, Type::STREAM, None).expect("failed to get a socket");
+        probe
+            .set_reuse_address(true)
+            .expect("failed to set SO_REUSEADDR");
+        // The probe must not listen: a process that another thread starts inherits it until exec,
+        // and a listening copy would keep the address in use after the probe is closed here.
+        if probe.bind(&address.into()).is_ok() {
+            return address;
         }
     }
 }
