--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -21,6 +21,9 @@
 const ABOVE_SHARE_FACTOR: f64 = 0.8;
 /// Lower bound of the factor, so that spare capacity is used.
 const MIN_ABOVE_SHARE_FACTOR: f64 = 0.2;
+/// Upper bound of the factor for a customer below the fair level, so that its requests still start
+/// within the latency objective.
+const MAX_BELOW_SHARE_FACTOR: f64 = 1.5;
 /// Time in which an engine at twice the token interval target recovers.
 const INTERVAL_RECOVERY: Duration = Duration::from_millis(1_500);
 /// Time constant of the decay of a customer's service, as in [`super::shares`].
@@ -130,7 +133,8 @@
     let factor = if is_above_share {
         (ABOVE_SHARE_FACTOR / candidate.share_ratio).max(MIN_ABOVE_SHARE_FACTOR)
     } else {
-        1.0
+        // The less of its share a customer has received, the later its requests are refused.
+        candidate.share_ratio.recip().min(MAX_BELOW_SHARE_FACTOR)
     };
     // The geometric mean is a compromise: long objectives may use a burst's queue, but not so much of
     // it that short ones no longer pass.
