--- a/samphiresill-gateway/src/log_budget.rs
+++ b/samphiresill-gateway/src/log_budget.rs
@@ -16,6 +16,9 @@
     /// A request was served.
     #[display("served")]
     Served,
+    /// A stream was served whose target ended it by closing the connection.
+    #[display("served unframed")]
+    ServedUnframed,
     /// A request was refused.
     #[display("refused")]
     Refused,
@@ -29,7 +32,7 @@
     /// that a router with a tenth of a core spends at most a hundredth of it on logging.
     fn limit(self) -> u32 {
         match self {
-            Self::Served | Self::Refused => 5,
+            Self::Served | Self::ServedUnframed | Self::Refused => 5,
             Self::Failed => 20,
         }
     }
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use samphiresill_core::routing::RequestKind;
 use samphiresill_telemetry::exposition::Exposition;
 
+use crate::relay::framing::Framing;
 use crate::responder::{self, FullResponse};
 
 /// Bucket boundaries of latency histograms, in seconds.
@@ -57,6 +58,17 @@
     Fallback,
 }
 
+/// `StreamEnd` is how a stream of events ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamEnd {
+    /// Framing of the body of the last run.
+    pub framing: Framing,
+    /// Whether the stream ended as complete towards the caller.
+    pub is_complete: bool,
+    /// Whether the last bytes from the target belong to an incomplete event.
+    pub is_within_event: bool,
+}
+
 /// `Metrics` are the instruments of one gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -65,6 +77,7 @@
     not_admitted: Counter<u64>,
     attempts_failed: Counter<u64>,
     placements: Counter<u64>,
+    stream_ends: Counter<u64>,
     first_event_time: Histogram<f64>,
     request_time: Histogram<f64>,
     queueing_time: Histogram<f64>,
@@ -88,6 +101,7 @@
             not_admitted: meter.u64_counter("gateway_not_admitted").build(),
             attempts_failed: meter.u64_counter("gateway_attempts_failed").build(),
             placements: meter.u64_counter("gateway_placements").build(),
+            stream_ends: meter.u64_counter("gateway_stream_ends").build(),
             first_event_time: histogram(&meter, "gateway_first_event_seconds"),
             request_time: histogram(&meter, "gateway_request_seconds"),
             queueing_time: histogram(&meter, "gateway_queueing_seconds"),
@@ -124,6 +138,16 @@
         self.attempts_failed.add(1, &label);
     }
 
+    /// Counts the end of a stream.
+    pub fn record_stream_end(&self, end: StreamEnd) {
+        let labels = [
+            KeyValue::new("framing", end.framing.to_string()),
+            KeyValue::new("complete", end.is_complete),
+            KeyValue::new("within_event", end.is_within_event),
+        ];
+        self.stream_ends.add(1, &labels);
+    }
+
     /// Records the time to the first event of a stream.
     pub fn record_first_event(&self, took: Duration) {
         self.first_event_time.record(took.as_secs_f64(), &[]);
--- a/samphiresill-gateway/src/relay/events.rs
+++ b/samphiresill-gateway/src/relay/events.rs
@@ -1,4 +1,4 @@
-//! Splits a stream into server-sent events, so that only complete events are delivered.
+//! Server-sent events: splits a stream into events, and tells whether a stream ends within one.
 
 use bytes::{Bytes, BytesMut};
 
@@ -66,6 +66,66 @@
     }
 }
 
+/// `Line` is what the current line of a stream holds so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+/// `EventBoundary` follows a stream without buffering it. Lines may end in LF, CRLF or CR.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventBoundary {
+    line: Line,
+    is_after_cr: bool,
+    has_open_event: bool,
+    events: u64,
+}
+
+impl EventBoundary {
+    /// Follows the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.advance(*byte);
+        }
+    }
+
+    /// Whether the stream, if it ended here, would end within an event or within a line.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        self.has_open_event || self.line != Line::Empty
+    }
+
+    /// Number of complete events so far.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    fn advance(&mut self, byte: u8) {
+        let is_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
+        match byte {
+            b'\n' if is_after_cr => {}
+            b'\n' | b'\r' => self.end_line(),
+            b':' if self.line == Line::Empty => self.line = Line::Comment,
+            _ if self.line == Line::Empty => {
+                self.line = Line::Field;
+                self.has_open_event = true;
+            }
+            _ => {}
+        }
+    }
+
+    fn end_line(&mut self) {
+        let is_blank = std::mem::take(&mut self.line) == Line::Empty;
+        if is_blank && std::mem::take(&mut self.has_open_event) {
+            self.events += 1;
+        }
+    }
+}
+
 fn event_id(event: &[u8]) -> Option<String> {
     let mut lines = event.split(|b| *b == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod events;
 pub mod forward;
+pub mod framing;
 pub mod request_context;
 pub mod response;
 pub mod stream;
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -23,13 +23,14 @@
 use tokio::time::Sleep;
 
 use super::attempt::{Failure, RunGuard, TargetResponse};
-use super::events::EventSplitter;
+use super::events::{EventBoundary, EventSplitter};
 use super::forward::{self, Attempts};
+use super::framing::Framing;
 use super::request_context::RequestContext;
 use super::response::ResponseBody;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::log_budget::Kind;
-use crate::metrics::Outcome;
+use crate::metrics::{Outcome, StreamEnd};
 
 /// Time before the deadline from which on a caller that leaves counts as one that ran out of time:
 /// its own clock started before the request arrived here.
@@ -106,6 +107,10 @@
     gateway: Arc<Gateway>,
     ctx: Arc<RequestContext>,
     is_resumable: bool,
+    /// Framing of the body of the latest run.
+    framing: Framing,
+    /// Position in the body of the latest run.
+    boundary: EventBoundary,
     splitter: EventSplitter,
     last_id: Option<String>,
     events: u64,
@@ -133,6 +138,8 @@
     let now = gateway.clock.monotonic();
     let stream = EventStream {
         is_resumable: ctx.route.request_kind == RequestKind::Generation { is_resumable: true },
+        framing: Framing::of(&response_head.headers),
+        boundary: EventBoundary::default(),
         timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
         placement: run.placement.clone(),
         state: State::Relaying {
@@ -268,6 +275,7 @@
     /// events that were not delivered before.
     fn take_complete_events(&mut self, bytes: &Bytes) -> Result<Bytes, &'static str> {
         let now = self.gateway.clock.monotonic();
+        self.boundary.push(bytes);
         if !self.is_resumable {
             self.events += 1;
             self.pace.observe(1, now);
@@ -340,6 +348,8 @@
         if !status.is_success() {
             return Err(format!("not resumed: status {status}"));
         }
+        self.framing = Framing::of(&response.head.headers);
+        self.boundary = EventBoundary::default();
         self.splitter = EventSplitter::default();
         self.pace = Pace::default();
         self.placement = run.placement.clone();
@@ -446,11 +456,19 @@
         }
     }
 
+    /// Counts and logs the end of the stream, with what shows whether it was complete.
     fn log_end(&self, end: &str) {
-        let kind = if end == COMPLETE {
-            Kind::Served
-        } else {
-            Kind::Failed
+        let is_complete = end == COMPLETE;
+        let is_within_event = self.boundary.is_within_event();
+        self.gateway.metrics.record_stream_end(StreamEnd {
+            framing: self.framing,
+            is_complete,
+            is_within_event,
+        });
+        let kind = match self.framing {
+            _ if !is_complete => Kind::Failed,
+            Framing::Close => Kind::ServedUnframed,
+            Framing::Chunked | Framing::Length => Kind::Served,
         };
         if !self.gateway.log_budget.allows(kind) {
             return;
@@ -461,7 +479,8 @@
         let since = |at: Duration| at.saturating_sub(self.ctx.started).as_millis() as u64;
         log::info!(
             request:% = self.ctx.request, route = &*self.ctx.route.name,
-            target:%, end, events = self.events,
+            target:%, end, events = self.events, framing:% = self.framing,
+            is_within_event, is_resumable = self.is_resumable,
             expected_ms = self.placement.expected.as_millis() as u64,
             wait_ms = estimate.wait.as_millis() as u64, prefill = estimate.prefill_tokens,
             copied = estimate.copied_tokens, runs = estimate.runs, rate = estimate.rate,
--- a/samphiresill-gateway/src/tests/events.rs
+++ b/samphiresill-gateway/src/tests/events.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use crate::relay::events::EventSplitter;
+use crate::relay::events::{EventBoundary, EventSplitter};
 
 const STREAM: &str =
     "id: 1\ndata: one\n\n: note\n\nx-version:4\nid: 2\r\ndata: a\r\ndata: b\r\n\r\nid:3\n\n";
@@ -60,3 +60,33 @@
     assert!(splitter.next_event().is_none());
     assert_eq!(splitter.is_event_too_long(), is_event_too_long);
 }
+
+struct BoundaryCase {
+    stream: &'static str,
+    is_within_event: bool,
+    /// Expected number of complete events.
+    events: u64,
+}
+
+#[rstest]
+#[case::nothing(BoundaryCase { stream: "", is_within_event: false, events: 0 })]
+#[case::after_an_event(BoundaryCase { stream: "id: 1\ndata: a\n\n", is_within_event: false, events: 1 })]
+#[case::after_crlf(BoundaryCase { stream: "data: a\r\n\r\n", is_within_event: false, events: 1 })]
+#[case::after_cr(BoundaryCase { stream: "data: a\r\rdata: b\r\r", is_within_event: false, events: 2 })]
+#[case::within_a_line(BoundaryCase { stream: "data: a\n\nda", is_within_event: true, events: 1 })]
+#[case::after_a_line(BoundaryCase { stream: "data: a\n\ndata: b\n", is_within_event: true, events: 1 })]
+#[case::after_one_crlf(BoundaryCase { stream: "data: a\r\n", is_within_event: true, events: 0 })]
+#[case::after_a_comment(BoundaryCase { stream: "data: a\n\n: note\n", is_within_event: false, events: 1 })]
+#[case::within_a_comment(BoundaryCase { stream: "data: a\n\n: no", is_within_event: true, events: 1 })]
+#[case::comment_within_an_event(BoundaryCase { stream: "data: a\n: note\n", is_within_event: true, events: 0 })]
+#[case::blank_lines(BoundaryCase { stream: "\n\ndata: a\n\n\n", is_within_event: false, events: 1 })]
+fn the_boundary_tells_where_a_stream_ends(#[case] case: BoundaryCase) {
+    for cut in 0..=case.stream.len() {
+        let mut boundary = EventBoundary::default();
+        let (first, second) = case.stream.as_bytes().split_at(cut);
+        boundary.push(first);
+        boundary.push(second);
+        let found = (boundary.is_within_event(), boundary.events());
+        assert_eq!(found, (case.is_within_event, case.events), "cut at {cut}");
+    }
+}
--- a/samphiresill-timeline/src/explain.rs
+++ b/samphiresill-timeline/src/explain.rs
@@ -114,9 +114,13 @@
     } else {
         format!("was interrupted: {end}")
     };
+    let framing = match record.field("framing").as_deref() {
+        Some("close") => " The target marked its end only by closing the connection.",
+        _ => "",
+    };
     format!(
         "Its stream from target {} {outcome}, after {:.0} events and {:.0} ms; the first event \
-         arrived after {:.0} ms, with {:.0} ms expected.",
+         arrived after {:.0} ms, with {:.0} ms expected.{framing}",
         record.field("target").unwrap_or_default(),
         number("events"),
         number("ms"),
--- a/samphiresill-timeline/src/tests/explanations.rs
+++ b/samphiresill-timeline/src/tests/explanations.rs
@@ -33,6 +33,11 @@
     kv: r#""target":"t1","end":"connection reset","events":45,"ms":4194,"first_ms":30,"expected_ms":38"#,
     expected: &["t1", "interrupted: connection reset", "45 events"],
 })]
+#[case::unframed_stream(Case {
+    message: "stream ended",
+    kv: r#""target":"t1","end":"complete","framing":"close","is_within_event":true"#,
+    expected: &["completed", "only by closing the connection"],
+})]
 #[case::denied(Case {
     message: "not admitted",
     kv: r#""status":401,"reason":"unknown key","revision":7"#,
