Abort a stream that ends within an event, whatever its framing and route

Cause: where a target states neither a length nor chunks, the close of its connection ends the body, and a crash closes it too. The relay looked for an incomplete event only in streams that may be resumed, because only these were split into events; any other stream that ended without an error was complete. Class: the end of a transport taken for the end of a message.

All streams of events are now followed to their end with EventBoundary, which buffers nothing. A stream that ends within an event fails, and so does one that ends with its connection before the first event. Bodies of other media types are relayed as they are, on resumable routes too.

Ruled out: truncated chunks and lengths, which the HTTP client reports, and the error of a body, which closes the caller's connection without a last chunk.

--- a/samphiresill-gateway/src/relay/events.rs
+++ b/samphiresill-gateway/src/relay/events.rs
@@ -36,10 +36,10 @@
         Some(Event { bytes, id })
     }
 
-    /// Whether bytes of an incomplete event are buffered.
-    #[must_use]
-    pub fn has_partial_event(&self) -> bool {
-        !self.buf.is_empty()
+    /// Removes and returns the buffered bytes after the last event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.buf.split().freeze()
     }
 
     /// Whether the incomplete event exceeds the maximum size of an event.
--- a/samphiresill-gateway/src/relay/framing.rs
+++ b/samphiresill-gateway/src/relay/framing.rs
@@ -1,8 +1,8 @@
 //! Framing of a response body: how its end is marked.
 
 use derive_more::Display;
-use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{StatusCode, http};
 
 /// `Framing` is how the end of a target's response body is marked (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -10,7 +10,7 @@
     /// A last chunk marks the end.
     #[display("chunked")]
     Chunked,
-    /// The length is stated in the head.
+    /// The head states the length, or that there is no body.
     #[display("length")]
     Length,
     /// The connection closes. A target that crashes closes it as well.
@@ -19,12 +19,13 @@
 }
 
 impl Framing {
-    /// Returns the framing that the headers of a response state.
+    /// Returns the framing that the head of a response states.
     #[must_use]
-    pub fn of(headers: &HeaderMap) -> Self {
-        if headers.contains_key(TRANSFER_ENCODING) {
+    pub fn of(head: &http::response::Parts) -> Self {
+        let has_no_body = head.status == StatusCode::NO_CONTENT;
+        if head.headers.contains_key(TRANSFER_ENCODING) {
             Self::Chunked
-        } else if headers.contains_key(CONTENT_LENGTH) {
+        } else if has_no_body || head.headers.contains_key(CONTENT_LENGTH) {
             Self::Length
         } else {
             Self::Close
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -4,7 +4,8 @@
 //! target, and a caller that disconnects ends the run because the body is dropped.
 //!
 //! Invariant: of a resumable stream, only complete events are delivered, each id once and in
-//! ascending order. The body ends without an error only if the body of the last run did.
+//! ascending order. The body ends without an error only if the body of the last run did, and not
+//! within an event: where the close of its connection ends a body, a crash looks like its end.
 
 use std::io;
 use std::pin::Pin;
@@ -14,8 +15,9 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
-use hyper::Response;
 use hyper::body::{Body, Frame, Incoming};
+use hyper::header::CONTENT_TYPE;
+use hyper::{HeaderMap, Response};
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_core::routing::RequestKind;
 use samphiresill_sched::fleet::event::RunResult;
@@ -106,6 +108,8 @@
     #[debug(skip)]
     gateway: Arc<Gateway>,
     ctx: Arc<RequestContext>,
+    /// Whether the body is a stream of events. Other bodies are relayed as they are.
+    has_events: bool,
     is_resumable: bool,
     /// Framing of the body of the latest run.
     framing: Framing,
@@ -136,9 +140,12 @@
     let (gateway, ctx) = attempts.parts();
     let response_head = response.head.clone();
     let now = gateway.clock.monotonic();
+    let has_events = is_event_stream(&response_head.headers);
     let stream = EventStream {
-        is_resumable: ctx.route.request_kind == RequestKind::Generation { is_resumable: true },
-        framing: Framing::of(&response_head.headers),
+        has_events,
+        is_resumable: has_events
+            && ctx.route.request_kind == RequestKind::Generation { is_resumable: true },
+        framing: Framing::of(&response_head),
         boundary: EventBoundary::default(),
         timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
         placement: run.placement.clone(),
@@ -219,18 +226,38 @@
                 }
                 Err(cause) => self.fail(during_response(cause)),
             },
-            BodyPoll::Complete if self.splitter.has_partial_event() => {
-                self.fail(during_response("the stream ended within an event"))
-            }
-            BodyPoll::Complete => {
-                self.finish();
-                Step::End
-            }
+            BodyPoll::Complete => match self.truncation() {
+                Some(cause) => self.fail(during_response(cause)),
+                None => self.complete(),
+            },
             BodyPoll::TimeUp => Step::Abort(self.abort("time is up")),
             BodyPoll::Failed(failure) => self.fail(failure),
         }
     }
 
+    /// Returns what shows that a body that ended without an error was broken off.
+    fn truncation(&self) -> Option<&'static str> {
+        if !self.has_events {
+            return None;
+        }
+        if self.boundary.is_within_event() {
+            return Some("the stream ended within an event");
+        }
+        (self.framing == Framing::Close && self.boundary.events() == 0)
+            .then_some("the connection closed before the first event")
+    }
+
+    /// Ends the stream as complete, after what follows the last event.
+    fn complete(&mut self) -> Step {
+        let rest = self.splitter.take_rest();
+        self.finish();
+        if rest.is_empty() {
+            Step::End
+        } else {
+            Step::Deliver(rest)
+        }
+    }
+
     /// Checks the silence timeout of the target and the deadline of the request.
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<BodyPoll> {
         loop {
@@ -348,7 +375,7 @@
         if !status.is_success() {
             return Err(format!("not resumed: status {status}"));
         }
-        self.framing = Framing::of(&response.head.headers);
+        self.framing = Framing::of(&response.head);
         self.boundary = EventBoundary::default();
         self.splitter = EventSplitter::default();
         self.pace = Pace::default();
@@ -501,6 +528,15 @@
     }
 }
 
+/// Whether a body may be taken for a stream of events: other media types have to be stated.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let media_type = value.to_str().unwrap_or_default().split(';').next();
+    media_type.is_some_and(|m| m.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 fn no_event_failure() -> Failure {
     Failure::new(FailurePoint::Silence, "no event for too long")
 }
--- a/samphiresill-gateway/src/tests/events.rs
+++ b/samphiresill-gateway/src/tests/events.rs
@@ -16,7 +16,7 @@
             events.push((String::from_utf8_lossy(&event.bytes).into_owned(), event.id));
         }
     }
-    (events, splitter.has_partial_event())
+    (events, !splitter.take_rest().is_empty())
 }
 
 #[test]
--- a/samphiresill-gateway/src/tests/mod.rs
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod events;
 mod frames;
+mod framing;
 mod listener;
 mod pool;
 mod settings;
