Relay a resumable stream without the length that its first run states

A run of a resumable stream that states its length breaks off; the next run goes on with more bytes than were left. The HTTP library cuts the response at the length of the first run, and the caller takes it for complete. The header is left out of responses that may be joined of several runs; they are chunked.

--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -16,7 +16,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::{HeaderMap, Response};
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_core::routing::RequestKind;
@@ -138,7 +138,7 @@
     in_flight: Option<InFlightGuard>,
 ) -> Response<ResponseBody> {
     let (gateway, ctx) = attempts.parts();
-    let response_head = response.head.clone();
+    let mut response_head = response.head.clone();
     let now = gateway.clock.monotonic();
     let has_events = is_event_stream(&response_head.headers);
     let stream = EventStream {
@@ -165,6 +165,10 @@
         reported_at: None,
         in_flight,
     };
+    if stream.is_resumable {
+        // Another run may end with a body of another length.
+        response_head.headers.remove(CONTENT_LENGTH);
+    }
     forward::forward_response(response_head, ResponseBody::stream(stream))
 }
 
