Reset the connection of an HTTP/1.0 caller whose stream breaks off

While such a response is unfinished the socket has a zero linger time, so that it is reset by whoever closes it, also when the process is killed; the option is cleared before an orderly end.

--- a/samphiresill-gateway/src/callers/activity.rs
+++ b/samphiresill-gateway/src/callers/activity.rs
@@ -9,6 +9,7 @@
 
 use derive_more::Debug;
 use samphiresill_core::clock::Clock;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -23,6 +24,8 @@
     /// Monotonic time in milliseconds since which the connection has been idle or a head pending.
     since_ms: AtomicU64,
     is_head_pending: AtomicBool,
+    /// Whether a response is being written whose end only the close of the connection marks.
+    has_unframed_response: AtomicBool,
 }
 
 impl ConnectionActivity {
@@ -35,6 +38,7 @@
             requests: AtomicUsize::new(0),
             since_ms: AtomicU64::new(now),
             is_head_pending: AtomicBool::new(false),
+            has_unframed_response: AtomicBool::new(false),
         }
     }
 
@@ -97,6 +101,22 @@
             _in_flight: gateway.begin_request(),
         }
     }
+
+    /// Records that only the close of the connection marks the end of the response. Unless
+    /// [`Self::complete_response`] is called, the connection is reset.
+    pub fn begin_unframed_response(&self) {
+        self.set_unframed_response(true);
+    }
+
+    /// Records that the response is complete.
+    pub fn complete_response(&self) {
+        self.set_unframed_response(false);
+    }
+
+    fn set_unframed_response(&self, has_unframed_response: bool) {
+        let flag = &self.activity.has_unframed_response;
+        flag.store(has_unframed_response, Ordering::Relaxed);
+    }
 }
 
 impl Drop for ActiveRequest {
@@ -106,13 +126,40 @@
     }
 }
 
-/// `TrackedStream` is a caller's connection that records received bytes in its activity.
+/// `TrackedStream` is a caller's connection that records received bytes in its activity. It is reset
+/// when it is dropped, or its process is killed, within an unframed response.
 #[derive(Debug)]
 pub struct TrackedStream {
     /// The connection.
     pub stream: TcpStream,
     /// Its activity.
     pub activity: Arc<ConnectionActivity>,
+    resets_on_close: bool,
+}
+
+impl TrackedStream {
+    /// Tracks a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream, activity: Arc<ConnectionActivity>) -> Self {
+        Self {
+            stream,
+            activity,
+            resets_on_close: false,
+        }
+    }
+
+    /// Chooses between a reset and an orderly close, whoever closes the connection.
+    fn update_close(&mut self) {
+        let has_unframed_response = self.activity.has_unframed_response.load(Ordering::Relaxed);
+        if self.resets_on_close == has_unframed_response {
+            return;
+        }
+        self.resets_on_close = has_unframed_response;
+        let linger = has_unframed_response.then_some(Duration::ZERO);
+        if let Err(e) = SockRef::from(&self.stream).set_linger(linger) {
+            log::warn!(error:% = e; "failed to set SO_LINGER");
+        }
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -136,6 +183,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_close();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -144,6 +192,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_close();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -156,6 +205,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.update_close();
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/samphiresill-gateway/src/callers/mod.rs
+++ b/samphiresill-gateway/src/callers/mod.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Version;
+use hyper::body::Body;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -65,6 +67,7 @@
             let active = ActiveRequest::new(&activity, &gateway);
             let gateway = Arc::clone(&gateway);
             let is_occupancy_high = occupancy.exceeds(HIGH_OCCUPANCY);
+            let version = req.version();
             async move {
                 let mut response = relay::handle(Arc::clone(&gateway), req).await;
                 // A caller that keeps its connection would send the next request into the stop.
@@ -72,6 +75,10 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
+                // Without a length, HTTP/1.0 has no other end than that of the connection.
+                if version == Version::HTTP_10 && response.body().size_hint().exact().is_none() {
+                    active.begin_unframed_response();
+                }
                 response.body_mut().attach_request(active);
                 Ok::<_, Infallible>(response)
             }
@@ -79,10 +86,7 @@
     };
     let table = gateway.routing_state.table();
     let head_bytes = table.map_or(MIN_HEAD_BYTES, |t| t.limits.head_bytes);
-    let stream = TrackedStream {
-        stream,
-        activity: Arc::clone(&activity),
-    };
+    let stream = TrackedStream::new(stream, Arc::clone(&activity));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Hyper's timeout would also close idle connections.
--- a/samphiresill-gateway/src/relay/response.rs
+++ b/samphiresill-gateway/src/relay/response.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -60,12 +60,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        match &mut self.content {
-            Content::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Content::Stream(stream) => stream
-                .poll_chunk(cx)
-                .map(|chunk| chunk.map(|c| c.map(Frame::data))),
+        let chunk = match &mut self.content {
+            Content::Full(bytes) => bytes.take().map(Ok),
+            Content::Stream(stream) => ready!(stream.poll_chunk(cx)),
+        };
+        if chunk.is_none()
+            && let Some(active) = &self.active
+        {
+            active.complete_response();
         }
+        Poll::Ready(chunk.map(|c| c.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
