Log the prompt parts of failed attempts

The logs could not tell whether crashes of engines have a part of the prompt in common. The line "attempt failed" now has the ids of the prompt's parts. No decision changes.

--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -161,7 +161,8 @@
         if self.gateway.log_budget.allows(Kind::Failed) {
             log::info!(
                 request:% = self.ctx.request, target:%, point:% = failure.point,
-                cause = failure.cause.as_str(), verdict:%, runs = self.runs;
+                cause = failure.cause.as_str(), verdict:%, runs = self.runs,
+                parts = self.ctx.prompt_parts();
                 "attempt failed"
             );
         }
--- a/samphiresill-gateway/src/relay/request_context.rs
+++ b/samphiresill-gateway/src/relay/request_context.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Ids of the prompt's parts in order, in hexadecimal, for the log; `None` without a generation.
+    #[must_use]
+    pub fn prompt_parts(&self) -> Option<String> {
+        let parts = &self.generation.as_ref()?.parts;
+        let ids = parts.iter().map(|part| format!("{:x}", part.id));
+        Some(ids.collect::<Vec<_>>().join(","))
+    }
+
     /// Whether the response is a stream of events.
     #[must_use]
     pub fn is_stream(&self) -> bool {
