Count a crash only where the host refuses connections; weigh noise among crashes

Cause, from its log: the cut broke connections by their timeout, the probes timed out too, and three engines that were only partitioned counted as crashed, so that the part no longer explained all crashes. Only a refusal or a reset by the host counts now. A part that explains three quarters of the crashes is convicted after six, whatever chance explains: some other crashes among them may not delay it for long.

--- a/samphiresill-gateway/src/crash_probe.rs
+++ b/samphiresill-gateway/src/crash_probe.rs
@@ -1,4 +1,4 @@
-//! Tells crashes of targets from broken connections: a crashed target accepts no new connection.
+//! Tells crashes of targets from broken connections: the host of a crashed target refuses new ones.
 //!
 //! Invariant: at most one probe per target is in progress.
 
@@ -70,7 +70,7 @@
         return;
     };
     match connected {
-        Err(connection::Error::Connect(e)) if is_remote(e.kind()) => {
+        Err(connection::Error::Connect(e)) if is_refusal(e.kind()) => {
             log::warn!(
                 target:%, error:% = e, runs = broken.count, suspects = broken.suspects.len();
                 "target crashed"
@@ -87,14 +87,11 @@
     }
 }
 
-/// Whether an error tells about the target, and not about this process, for example its descriptors.
-fn is_remote(kind: ErrorKind) -> bool {
+/// Whether the target's host has refused the connection: nothing listens there. Without an answer
+/// the host may be partitioned, which also breaks connections.
+fn is_refusal(kind: ErrorKind) -> bool {
     matches!(
         kind,
-        ErrorKind::ConnectionRefused
-            | ErrorKind::ConnectionReset
-            | ErrorKind::TimedOut
-            | ErrorKind::HostUnreachable
-            | ErrorKind::NetworkUnreachable
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
     )
 }
--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -2,9 +2,9 @@
 //!
 //! An answered request clears its parts of all crashes before. A part is convicted when it ran in
 //! several crashes, more than any other part, and in more than chance explains; less evidence is
-//! needed when it ran in all crashes since its first one. Crashes at the same moment count only where
-//! the part ran in most of them: targets of one rack or failure domain fail together, whatever runs
-//! there.
+//! needed when it ran in most crashes since its first one and was never answered. Crashes at the same
+//! moment count only where the part ran in most of them: targets of one rack or failure domain fail
+//! together, whatever runs there.
 //!
 //! Invariants: at most [`MAX_CRASHES`] crashes with [`MAX_SUSPECTS`] parts each are kept, and
 //! [`MAX_ANSWERED`] answered parts.
@@ -21,6 +21,9 @@
 /// them too, it had been answered before, a single target crashed again and again, or most runs end
 /// in crashes.
 const FIRM_CRASHES: usize = 5;
+/// Fraction of the crashes since its first one that a part has to explain to be convicted after more
+/// than [`FIRM_CRASHES`], whatever chance explains.
+const MOST: f64 = 0.75;
 /// Probability below which chance does not explain that a part ran in so many crashes, for a part
 /// that ran in all crashes since its first one.
 const MAX_CHANCE_IN_ALL: f64 = 1e-3;
@@ -193,12 +196,11 @@
         let is_varied = case.targets > 1 && case.explained_groups > 1;
         let is_enough = most >= MIN_CRASHES && (is_varied || is_firm);
         let explains_all = case.explained_groups == case.groups;
+        let explains_most = case.explained_groups as f64 >= case.groups as f64 * MOST;
         let chance = self.chance(case);
-        let is_proven = if explains_all && !case.was_answered {
-            is_firm || chance < MAX_CHANCE_IN_ALL
-        } else {
-            chance < MAX_CHANCE_AMONG_OTHERS
-        };
+        let explains_crashes = explains_all && (is_firm || chance < MAX_CHANCE_IN_ALL)
+            || explains_most && most > FIRM_CRASHES;
+        let is_proven = chance < MAX_CHANCE_AMONG_OTHERS || explains_crashes && !case.was_answered;
         (is_enough && is_proven).then_some(case)
     }
 
