--- a/samphiresill-gateway/src/connection/call.rs
+++ b/samphiresill-gateway/src/connection/call.rs
@@ -1,12 +1,12 @@
-//! GET requests to the store, to peers and to targets whose responses are buffered completely.
+//! Calls to the store, to peers and to targets whose responses are buffered completely.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Request, StatusCode, http};
 
 use super::Error;
 use super::pool::Pool;
@@ -28,8 +28,35 @@
     path: &str,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), Error> {
-    let exchange = exchange(pool, address, path);
-    tokio::time::timeout(timeout, exchange)
+    let req = Request::get(path).body(Full::default());
+    call(pool, address, req, timeout).await
+}
+
+/// Sends a POST request with a JSON document and returns the status and the complete body.
+///
+/// # Errors
+/// As for [`get`].
+pub async fn post_json(
+    pool: &Pool,
+    address: SocketAddr,
+    path: &str,
+    document: Bytes,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), Error> {
+    let req = Request::post(path)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::from(document));
+    call(pool, address, req, timeout).await
+}
+
+async fn call(
+    pool: &Pool,
+    address: SocketAddr,
+    req: http::Result<Request<Full<Bytes>>>,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), Error> {
+    let req = req.expect("invariant: paths of calls are valid");
+    tokio::time::timeout(timeout, exchange(pool, address, req))
         .await
         .unwrap_or(Err(Error::Timeout))
 }
@@ -37,13 +64,11 @@
 async fn exchange(
     pool: &Pool,
     address: SocketAddr,
-    path: &str,
+    mut req: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), Error> {
-    let req = Request::builder()
-        .uri(path)
-        .header(HOST, address.to_string())
-        .body(Full::default())
-        .expect("invariant: paths of calls are valid");
+    let host = HeaderValue::from_str(&address.to_string());
+    let host = host.expect("invariant: an address is a valid header value");
+    req.headers_mut().insert(HOST, host);
     let mut connection = pool.acquire(address, CONNECT_TIMEOUT).await?;
     let (head, body) = connection.send(req).await?.into_parts();
     let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
