--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -261,6 +261,9 @@
             self.swept_at = now;
             self.gateway.fleet_load().sweep(now);
             self.log_ejections(now);
+            // A report may also arrive after its crash was judged.
+            self.judge_crashes(now);
+        } else if self.gateway.fleet_load().has_unjudged_crashes(now) {
             self.judge_crashes(now);
         }
         self.send_notices(now).await;
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -217,6 +217,12 @@
         self.quarantine.remaining(generation.shared_parts(), now)
     }
 
+    /// Whether there are crashes to judge.
+    #[must_use]
+    pub fn has_unjudged_crashes(&self, now: Duration) -> bool {
+        self.crash_evidence.is_due(now)
+    }
+
     /// Lists the prompt parts that the crashes so far convict, and returns what is new.
     pub fn judge_crashes(&mut self, now: Duration) -> Vec<Conviction> {
         let mut convictions = Vec::new();
--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -99,6 +99,7 @@
     /// Runs that ended recently, exponentially decayed as of `counted_at`.
     crashed_runs: f64,
     answered_runs: f64,
+    judged_at: Duration,
     counted_at: Duration,
 }
 
@@ -158,6 +159,13 @@
         self.crashes.retain(|c| !c.suspects.contains_key(&part));
     }
 
+    /// Whether a crash has settled since the evidence was last judged.
+    #[must_use]
+    pub fn is_due(&self, now: Duration) -> bool {
+        let mut settled_at = self.crashes.iter().map(|c| c.at + SETTLING_TIME);
+        settled_at.any(|at| self.judged_at < at && at <= now)
+    }
+
     /// Returns the part that the evidence convicts, if any, and removes the crashes that it
     /// explains. A part on probation is convicted by one crash.
     pub fn convict(
@@ -165,6 +173,7 @@
         is_on_probation: impl Fn(u64) -> bool,
         now: Duration,
     ) -> Option<Conviction> {
+        self.judged_at = now;
         self.decay(now);
         let cases = self.cases(now);
         let case = cases
--- a/samphiresill-sched/src/fleet/tests/quarantine.rs
+++ b/samphiresill-sched/src/fleet/tests/quarantine.rs
@@ -106,6 +106,19 @@
     assert_eq!(convicted(&mut evidence, last + SECOND), [DEADLY]);
 }
 
+/// Evidence is judged once after each crash has settled, also while others go on.
+#[test]
+fn crashes_are_judged_as_soon_as_they_have_settled() {
+    let mut evidence = CrashEvidence::default();
+    for number in 1..=10_u32 {
+        let at = MS * 100 * number;
+        evidence.record_crash(&TargetName::from(format!("t{number}")), 1, &[], at);
+        assert_eq!(evidence.is_due(at + MS * 60), number > 1, "{number}");
+        assert_eq!(convicted(&mut evidence, at + MS * 60), [0; 0]);
+        assert!(!evidence.is_due(at + MS * 61));
+    }
+}
+
 #[test]
 fn a_part_on_probation_is_convicted_by_one_crash() {
     let mut evidence = CrashEvidence::default();
