Cancel requests that wait at an engine when their part is quarantined

They would crash the engines where they are about to begin, after the part is known. A request whose head has not arrived is broken off when a part of its prompt is quarantined; engines drop requests whose connection closes. It may have run, so its caller gets 502, and the target's health is not touched.

--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -64,6 +64,8 @@
     pub response: Option<(http::response::Parts, Bytes)>,
     /// Whether the connection broke after the request was sent, as it does in a crash.
     pub is_broken_connection: bool,
+    /// Whether this router broke the attempt off, which tells nothing about the target.
+    pub is_cancelled: bool,
 }
 
 impl Failure {
@@ -75,6 +77,7 @@
             cause: cause.into(),
             response: None,
             is_broken_connection: false,
+            is_cancelled: false,
         }
     }
 
@@ -117,7 +120,8 @@
 }
 
 /// Sends a request to a target and waits at most `timeout` for the head of the response. Dropping
-/// the future closes the connection.
+/// the future closes the connection. A request of whose prompt a part is quarantined meanwhile is
+/// cancelled, before it crashes the target.
 ///
 /// # Errors
 /// When the attempt fails; the failure contains the stage.
@@ -129,9 +133,33 @@
     timeout: Duration,
 ) -> Result<TargetResponse, Failure> {
     let exchange = exchange(gateway, ctx, placement, resume_after);
-    match tokio::time::timeout(timeout, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(Failure::new(FailurePoint::Silence, "no answer in time")),
+    tokio::select! {
+        sent = tokio::time::timeout(timeout, exchange) => match sent {
+            Ok(result) => result,
+            Err(_) => Err(Failure::new(FailurePoint::Silence, "no answer in time")),
+        },
+        () = quarantined(gateway, ctx) => Err(Failure {
+            is_cancelled: true,
+            ..Failure::new(FailurePoint::Sending, "cancelled, a prompt part is quarantined")
+        }),
+    }
+}
+
+/// Waits until a part of the prompt is quarantined.
+async fn quarantined(gateway: &Gateway, ctx: &RequestContext) {
+    let Some(generation) = &ctx.generation else {
+        return std::future::pending().await;
+    };
+    let mut changes = gateway.quarantine_changed.subscribe();
+    loop {
+        let now = gateway.clock.monotonic();
+        let remaining = gateway.fleet_load().quarantine_remaining(generation, now);
+        if remaining.is_some() {
+            return;
+        }
+        if changes.changed().await.is_err() {
+            return std::future::pending().await;
+        }
     }
 }
 
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -369,6 +369,7 @@
 /// Result of a failed attempt that is reported to the fleet load.
 fn run_result(failure: &Failure) -> RunResult {
     match failure.point {
+        _ if failure.is_cancelled => RunResult::Unknown,
         // `Misdirected`: another target has taken over the address.
         FailurePoint::Connect | FailurePoint::Misdirected => RunResult::Unreachable,
         _ => RunResult::Failed,
