Judge crashes only on schedulers, and never by one moment alone

- Only schedulers judge, 2 s after they have become one: they see the answers of all routers, which clear sound parts.
- Crashes at one moment, counted from the first of them, never convict alone.
A storm without pauses now has many moments, where it was one.

--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -49,8 +49,8 @@
     pub(super) instance_id: u64,
     pub(super) membership: Membership,
     pub(super) roles: Roles,
-    /// Whether this gateway is one of the schedulers.
-    is_scheduler: bool,
+    /// Since when this gateway is one of the schedulers.
+    pub(super) scheduler_since: Option<Duration>,
     /// Origins of the known gateways, by address.
     pub(super) origins: BTreeMap<SocketAddr, u64>,
     /// Gateways that request placements from this one, and when they last sent a frame.
@@ -108,7 +108,7 @@
             peers,
             instance_id,
             roles: Roles::default(),
-            is_scheduler: false,
+            scheduler_since: None,
             origins: BTreeMap::new(),
             clients: BTreeMap::new(),
             started: now,
@@ -211,9 +211,11 @@
         let roles = Roles::new(all, ROLE_COUNTS);
         let is_new = roles != self.roles;
         self.roles = roles;
-        let was_scheduler = self.is_scheduler;
         let is_scheduler = self.roles.is_scheduler(&self.vm);
-        self.is_scheduler = is_scheduler;
+        let now = self.gateway.clock.monotonic();
+        let since = self.scheduler_since.unwrap_or(now);
+        let was_scheduler = self.scheduler_since.is_some();
+        self.scheduler_since = is_scheduler.then_some(since);
         if is_scheduler && !was_scheduler {
             let (gateway, peers) = (Arc::clone(&self.gateway), Arc::clone(&self.peers));
             tokio::spawn(warm_up::run(gateway, peers));
@@ -261,6 +263,8 @@
             self.swept_at = now;
             self.gateway.fleet_load().sweep(now);
             self.log_ejections(now);
+            let quarantined = self.gateway.fleet_load().quarantine().len(now);
+            self.gateway.metrics.record_quarantined(quarantined);
             // A report may also arrive after its crash was judged.
             self.judge_crashes(now);
         } else if self.gateway.fleet_load().has_unjudged_crashes(now) {
--- a/samphiresill-gateway/src/peers/quarantine.rs
+++ b/samphiresill-gateway/src/peers/quarantine.rs
@@ -15,6 +15,9 @@
 /// has to know them within the operators' stability window, which is three seconds or more.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which a scheduler observes the fleet before it judges crashes.
+const OBSERVATION_TIME: Duration = Duration::from_secs(2);
+
 /// `NoticesSent` records what the other gateways have been told.
 #[derive(Debug, Default)]
 pub(super) struct NoticesSent {
@@ -23,13 +26,18 @@
 }
 
 impl Driver {
-    /// Lists the prompt parts that the crashes of targets convict.
+    /// Lists the prompt parts that the crashes of targets convict. Only schedulers see enough answers
+    /// to clear sound parts, after a while.
     pub(super) fn judge_crashes(&mut self, now: Duration) {
+        let is_informed = self
+            .scheduler_since
+            .is_some_and(|since| now.saturating_sub(since) > OBSERVATION_TIME);
+        if !is_informed {
+            return;
+        }
         let mut fleet_load = self.gateway.fleet_load();
         let convictions = fleet_load.judge_crashes(now);
-        let quarantined = fleet_load.quarantine().len(now);
         drop(fleet_load);
-        self.gateway.metrics.record_quarantined(quarantined);
         for conviction in convictions {
             let part = format!("{:x}", conviction.part);
             let since_ms = now.saturating_sub(conviction.crashed_at).as_millis() as u64;
--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -3,8 +3,8 @@
 //! An answered request clears its parts of all crashes before. A part is convicted when it ran in
 //! several crashes, more than any other part, and in more than chance explains; less evidence is
 //! needed when it ran in most crashes since its first one and was never answered. Crashes at the same
-//! moment count only where the part ran in most of them: targets of one rack or failure domain fail
-//! together, whatever runs there.
+//! moment count only where the part ran in most of them, and never alone: targets of one rack or
+//! failure domain fail together, whatever runs there.
 //!
 //! Invariants: at most [`MAX_CRASHES`] crashes with [`MAX_SUSPECTS`] parts each are kept, and
 //! [`MAX_ANSWERED`] answered parts.
@@ -34,8 +34,8 @@
 const SETTLING_TIME: Duration = Duration::from_millis(150);
 /// Time within which reports about one target are about one crash: a target takes seconds to start.
 const MERGE_WINDOW: Duration = Duration::from_secs(1);
-/// Gap between crashes that count as simultaneous: their reports take tens of milliseconds.
-const SIMULTANEOUS_GAP: Duration = Duration::from_millis(60);
+/// Time within which crashes count as simultaneous: their reports take tens of milliseconds.
+const SIMULTANEOUS_TIME: Duration = Duration::from_millis(60);
 /// Time for which a crash is kept.
 const RETENTION: Duration = Duration::from_mins(10);
 /// Time constant of the rate at which runs end in crashes.
@@ -202,8 +202,8 @@
             _ if is_firm => unanswered().max_by_key(|c| c.depth),
             _ => None,
         }?;
-        let is_varied = case.targets > 1 && case.explained_groups > 1;
-        let is_enough = most >= MIN_CRASHES && (is_varied || is_firm);
+        let is_enough =
+            most >= MIN_CRASHES && (case.targets > 1 || is_firm) && case.explained_groups > 1;
         let explains_all = case.explained_groups == case.groups;
         let explains_most = case.explained_groups as f64 >= case.groups as f64 * MOST;
         let chance = self.chance(case);
@@ -227,9 +227,7 @@
     fn cases(&self, now: Duration) -> Vec<Case> {
         let is_settled = |c: &&Crash| c.at + SETTLING_TIME <= now;
         let settled: Vec<&Crash> = self.crashes.iter().filter(is_settled).collect();
-        let groups: Vec<&[&Crash]> = settled
-            .chunk_by(|a, b| b.at.saturating_sub(a.at) <= SIMULTANEOUS_GAP)
-            .collect();
+        let groups = simultaneous(&settled);
         let mut cases: BTreeMap<u64, Case> = BTreeMap::new();
         let mut targets: BTreeMap<u64, BTreeSet<&TargetName>> = BTreeMap::new();
         for (index, group) in groups.iter().enumerate() {
@@ -277,6 +275,21 @@
     }
 }
 
+/// Groups crashes by the time since the first one of the group. A group does not grow with further
+/// crashes, so that a storm without pauses has many.
+fn simultaneous<'a, 'b>(crashes: &'b [&'a Crash]) -> Vec<&'b [&'a Crash]> {
+    let mut groups = Vec::new();
+    let mut rest = crashes;
+    while let Some(first) = rest.first() {
+        let is_in_group = |c: &&Crash| c.at.saturating_sub(first.at) <= SIMULTANEOUS_TIME;
+        let count = rest.iter().take_while(|c| is_in_group(c)).count();
+        let (group, others) = rest.split_at(count);
+        groups.push(group);
+        rest = others;
+    }
+    groups
+}
+
 /// Returns the parts that ran in a group of crashes, with their depths and these crashes.
 fn parts_of<'a>(group: &[&'a Crash]) -> BTreeMap<u64, (u8, Vec<&'a Crash>)> {
     let mut parts: BTreeMap<u64, (u8, Vec<&Crash>)> = BTreeMap::new();
