Keep crashes in the store as evidence until they are explained

Without experience, half of ten assumed runs count as crashed: a router that has just started convicted a part by restored crashes alone, because it knew of no runs (restored_crashes_count_like_seen_ones failed then).

--- a/samphiresill-gateway/src/tests/frames.rs
+++ b/samphiresill-gateway/src/tests/frames.rs
@@ -1,9 +1,12 @@
 //! Encoding and decoding of datagrams between gateways, including corrupted ones.
 
+use std::time::Duration;
+
 use samphiresill_sched::fleet::event::{Event, RunResult};
+use samphiresill_sched::fleet::quarantine::{MAX_ENTRIES, Notice};
 use samphiresill_sched::fleet::request::RunId;
 
-use crate::peers::frame::{Frame, LoadFrame};
+use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES};
 
 fn frame() -> Frame {
     let event = Event::Ended {
@@ -22,6 +25,20 @@
     })
 }
 
+/// Notices about as many parts as can be listed fit into one datagram.
+#[test]
+fn a_full_list_of_notices_fits_into_a_datagram() {
+    let notice = Notice {
+        part: u64::MAX,
+        revision: 100,
+        is_lifted: true,
+        remaining: Duration::new(3_599, 999_999_999),
+    };
+    let frame = Frame::Notices(vec![notice; MAX_ENTRIES]);
+    let bytes = frame.encode().expect("notices can be encoded");
+    assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
+}
+
 #[test]
 fn a_frame_round_trips() {
     let bytes = frame().encode().expect("a frame");
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -19,7 +19,7 @@
 use self::target::{Target, TargetLoad};
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
-use super::quarantine::evidence::{Conviction, CrashEvidence, Suspect};
+use super::quarantine::evidence::{Conviction, CrashEvidence, CrashRecord, Suspect};
 use super::quarantine::{Notice, Quarantine};
 use super::queueing::{Queue, QueueLimit};
 use super::request::{Generation, PlacementRequest, PromptPart, RunId};
@@ -217,6 +217,20 @@
         self.quarantine.remaining(generation.shared_parts(), now)
     }
 
+    /// Returns the crashes whose evidence outlasts a restart.
+    #[must_use]
+    pub fn crash_records(&self, now: Duration) -> Vec<CrashRecord> {
+        self.crash_evidence.records(now)
+    }
+
+    /// Adds a crash that the store tells of, unless a quarantined part explains it. Returns whether
+    /// it was unknown.
+    pub fn restore_crash(&mut self, record: &CrashRecord, now: Duration) -> bool {
+        let parts = record.suspects.iter().map(|s| s.part);
+        let is_explained = self.quarantine.remaining(parts, now).is_some();
+        !is_explained && self.crash_evidence.restore(record, now)
+    }
+
     /// Whether there are crashes to judge.
     #[must_use]
     pub fn has_unjudged_crashes(&self, now: Duration) -> bool {
--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -36,10 +36,16 @@
 const MERGE_WINDOW: Duration = Duration::from_secs(1);
 /// Time within which crashes count as simultaneous: their reports take tens of milliseconds.
 const SIMULTANEOUS_TIME: Duration = Duration::from_millis(60);
+/// Time after a crash in which answers clear most of its suspects.
+const CLEARING_TIME: Duration = Duration::from_secs(1);
 /// Time for which a crash is kept.
-const RETENTION: Duration = Duration::from_mins(10);
+pub const RETENTION: Duration = Duration::from_mins(10);
+/// Offset of the times in the evidence, so that crashes from before the start of the clock have one.
+const CLOCK_OFFSET: Duration = RETENTION;
 /// Time constant of the rate at which runs end in crashes.
 const RATE_TIME_CONSTANT_S: f64 = 30.0;
+/// Number of runs, half of them crashed, that are assumed until there is experience.
+const PRIOR_RUNS: f64 = 10.0;
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 48;
 /// Maximum number of parts that are kept of a crash.
@@ -67,6 +73,17 @@
     pub crashed_at: Duration,
 }
 
+/// `CrashRecord` is what is known of one crash, for the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashRecord {
+    /// The target that crashed.
+    pub target: TargetName,
+    /// How long ago.
+    pub age: Duration,
+    /// Parts that ran there and were not answered since.
+    pub suspects: Vec<Suspect>,
+}
+
 #[derive(Debug)]
 struct Crash {
     target: TargetName,
@@ -112,6 +129,7 @@
         suspects: &[Suspect],
         now: Duration,
     ) {
+        let now = now + CLOCK_OFFSET;
         self.decay(now);
         self.crashed_runs += f64::from(runs);
         let is_recent =
@@ -135,8 +153,58 @@
         }
     }
 
+    /// Returns the crashes whose evidence outlasts a restart: the ones after which other requests have
+    /// had time to clear their parts.
+    #[must_use]
+    pub fn records(&self, now: Duration) -> Vec<CrashRecord> {
+        let now = now + CLOCK_OFFSET;
+        let lasting = self
+            .crashes
+            .iter()
+            .filter(|c| now.saturating_sub(c.at) >= CLEARING_TIME && !c.suspects.is_empty());
+        let record = |c: &Crash| CrashRecord {
+            target: c.target.clone(),
+            age: now.saturating_sub(c.at),
+            suspects: c
+                .suspects
+                .iter()
+                .map(|(part, depth)| Suspect {
+                    part: *part,
+                    depth: *depth,
+                })
+                .collect(),
+        };
+        lasting.map(record).collect()
+    }
+
+    /// Adds a crash from before this process started, or that it has missed. Returns false when it is
+    /// known or too old.
+    pub fn restore(&mut self, record: &CrashRecord, now: Duration) -> bool {
+        let at = (now + CLOCK_OFFSET).saturating_sub(record.age);
+        let is_known = |c: &Crash| c.target == record.target && c.at.abs_diff(at) < MERGE_WINDOW;
+        if record.age >= RETENTION || self.crashes.iter().any(is_known) {
+            return false;
+        }
+        let mut crash = Crash {
+            target: record.target.clone(),
+            at,
+            suspects: BTreeMap::new(),
+        };
+        crash.add(&record.suspects);
+        crash
+            .suspects
+            .retain(|part, _| self.answered.get(part).is_none_or(|t| *t < at));
+        let index = self.crashes.partition_point(|c| c.at <= at);
+        self.crashes.insert(index, crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        true
+    }
+
     /// Records that a request with these parts was answered completely.
     pub fn record_answer(&mut self, parts: &[u64], now: Duration) {
+        let now = now + CLOCK_OFFSET;
         self.decay(now);
         self.answered_runs += 1.0;
         for part in parts {
@@ -162,6 +230,7 @@
     /// Whether a crash has settled since the evidence was last judged.
     #[must_use]
     pub fn is_due(&self, now: Duration) -> bool {
+        let now = now + CLOCK_OFFSET;
         let mut settled_at = self.crashes.iter().map(|c| c.at + SETTLING_TIME);
         settled_at.any(|at| self.judged_at < at && at <= now)
     }
@@ -173,6 +242,7 @@
         is_on_probation: impl Fn(u64) -> bool,
         now: Duration,
     ) -> Option<Conviction> {
+        let now = now + CLOCK_OFFSET;
         self.judged_at = now;
         self.decay(now);
         let cases = self.cases(now);
@@ -183,7 +253,7 @@
         let conviction = Conviction {
             part: case.part,
             crashes: case.crashes,
-            crashed_at: case.crashed_at,
+            crashed_at: case.crashed_at.saturating_sub(CLOCK_OFFSET),
         };
         self.explain(conviction.part);
         Some(conviction)
@@ -218,8 +288,8 @@
     fn chance(&self, case: &Case) -> f64 {
         let suspects = self.crashes.iter().flat_map(|c| c.suspects.keys());
         let parts = suspects.collect::<BTreeSet<_>>().len();
-        let ended_runs = (self.crashed_runs + self.answered_runs).max(1.0);
-        let rate = self.crashed_runs / ended_runs;
+        let ended_runs = self.crashed_runs + self.answered_runs;
+        let rate = (self.crashed_runs + PRIOR_RUNS / 2.0) / (ended_runs + PRIOR_RUNS);
         rate.powf(case.crashes as f64) * parts as f64
     }
 
--- a/samphiresill-sched/src/fleet/tests/quarantine.rs
+++ b/samphiresill-sched/src/fleet/tests/quarantine.rs
@@ -120,6 +120,34 @@
     }
 }
 
+/// A router that starts again goes on with the crashes that another one knew.
+#[test]
+fn restored_crashes_count_like_seen_ones() {
+    let mut before = CrashEvidence::default();
+    for (number, target) in ["t1", "t2", "t1", "t3"].into_iter().enumerate() {
+        let prompts: [&[u64]; 2] = [&[1, DEADLY], &[1, 20 + number as u64]];
+        let at = SECOND * (10 + 5 * number as u32);
+        before.record_crash(&TargetName::from(target), 2, &suspects(&prompts), at);
+        before.record_answer(&[1], at + SECOND / 2);
+    }
+    let records = before.records(SECOND * 30);
+    assert_eq!(records.len(), 4);
+    assert_eq!(
+        before.records(SECOND * 25 + SECOND / 2).len(),
+        3,
+        "one is too young"
+    );
+    let mut after = CrashEvidence::default();
+    for record in &records {
+        assert!(after.restore(record, SECOND));
+        assert!(!after.restore(record, SECOND + MS), "known");
+    }
+    assert_eq!(convicted(&mut after, SECOND * 2), [0; 0]);
+    let target = TargetName::from("t4");
+    after.record_crash(&target, 1, &suspects(&[&[1, DEADLY]]), SECOND * 3);
+    assert_eq!(convicted(&mut after, SECOND * 4), [DEADLY]);
+}
+
 #[test]
 fn a_part_on_probation_is_convicted_by_one_crash() {
     let mut evidence = CrashEvidence::default();
