Tell a gateway that has just started of the quarantine at once

A gateway whose configuration is older is answered with the versions at once; it now gets all notices with them.

--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -168,6 +168,7 @@
                     // Announces the newer state at once to a gateway that has just started.
                     let frame = Frame::Load(self.empty_frame());
                     self.peers.send(&frame, std::iter::once(from)).await;
+                    self.send_all_notices(from, now).await;
                 }
             }
             Ok(Frame::PlacementRequest(frame)) => {
--- a/samphiresill-gateway/src/peers/quarantine.rs
+++ b/samphiresill-gateway/src/peers/quarantine.rs
@@ -72,6 +72,15 @@
         self.peers.send(&frame, receivers.into_iter()).await;
     }
 
+    /// Sends all notices to a gateway that has just started.
+    pub(super) async fn send_all_notices(&self, to: SocketAddr, now: Duration) {
+        let notices = self.gateway.fleet_load().quarantine().notices(now);
+        if !notices.is_empty() {
+            let frame = Frame::Notices(notices);
+            self.peers.send(&frame, std::iter::once(to)).await;
+        }
+    }
+
     /// The neighbours in the dissemination tree.
     fn notice_receivers(&mut self, now: Duration) -> Vec<SocketAddr> {
         let mut receivers = self.live_clients(now);
