--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -249,7 +249,7 @@
         let case = cases
             .iter()
             .find(|c| is_on_probation(c.part))
-            .or_else(|| self.strongest(&cases))?;
+            .or_else(|| leader(&cases).filter(|c| self.is_proven(c)))?;
         let conviction = Conviction {
             part: case.part,
             crashes: case.crashes,
@@ -259,28 +259,22 @@
         Some(conviction)
     }
 
-    fn strongest<'a>(&self, cases: &'a [Case]) -> Option<&'a Case> {
-        let most = cases.iter().map(|c| c.crashes).max()?;
-        let leaders = || cases.iter().filter(|c| c.crashes == most);
-        let unanswered = || leaders().filter(|c| !c.was_answered);
-        let is_firm = most >= FIRM_CRASHES;
-        // Among parts that always come together, the deepest one is in the fewest prompts.
-        let case = match (unanswered().count(), leaders().count()) {
-            (1, _) => unanswered().next(),
-            (0, 1) if is_firm => leaders().next(),
-            (0, _) => None,
-            _ if is_firm => unanswered().max_by_key(|c| c.depth),
-            _ => None,
-        }?;
-        let is_enough =
-            most >= MIN_CRASHES && (case.targets > 1 || is_firm) && case.explained_groups > 1;
+    /// Whether the evidence against the leading part is enough.
+    fn is_proven(&self, case: &Case) -> bool {
+        let is_firm = case.crashes >= FIRM_CRASHES;
+        let is_varied = case.explained_groups > 1 && (case.targets > 1 || is_firm);
+        if case.crashes < MIN_CRASHES || !is_varied {
+            return false;
+        }
+        let chance = self.chance(case);
+        if chance < MAX_CHANCE_AMONG_OTHERS {
+            return true;
+        }
         let explains_all = case.explained_groups == case.groups;
         let explains_most = case.explained_groups as f64 >= case.groups as f64 * MOST;
-        let chance = self.chance(case);
         let explains_crashes = explains_all && (is_firm || chance < MAX_CHANCE_IN_ALL)
-            || explains_most && most > FIRM_CRASHES;
-        let is_proven = chance < MAX_CHANCE_AMONG_OTHERS || explains_crashes && !case.was_answered;
-        (is_enough && is_proven).then_some(case)
+            || explains_most && case.crashes > FIRM_CRASHES;
+        explains_crashes && !case.was_answered
     }
 
     /// Probability that any of the suspects runs in so many crashes, and is never answered, though
@@ -345,6 +339,22 @@
     }
 }
 
+/// Returns the part that ran in more crashes than any other; among several, the one that was never
+/// answered. `None` while the evidence does not tell them apart.
+fn leader(cases: &[Case]) -> Option<&Case> {
+    let most = cases.iter().map(|c| c.crashes).max()?;
+    let is_firm = most >= FIRM_CRASHES;
+    let leaders = || cases.iter().filter(|c| c.crashes == most);
+    let unanswered = || leaders().filter(|c| !c.was_answered);
+    match (unanswered().count(), leaders().count()) {
+        (1, _) => unanswered().next(),
+        (0, 1) if is_firm => leaders().next(),
+        // Among parts that always come together, the deepest one is in the fewest prompts.
+        (2.., _) if is_firm => unanswered().max_by_key(|c| c.depth),
+        _ => None,
+    }
+}
+
 /// Groups crashes by the time since the first one of the group. A group does not grow with further
 /// crashes, so that a storm without pauses has many.
 fn simultaneous<'a, 'b>(crashes: &'b [&'a Crash]) -> Vec<&'b [&'a Crash]> {
