Log and count the limits that targets name, and the requests to limited targets

The logs could not tell whether engines that name a limit get as many requests as before or more. Each response's limit is decoded and told to the schedulers, which count the requests of all routers to limited targets; nothing else uses it yet.

--- a/samphiresill-core/src/units.rs
+++ b/samphiresill-core/src/units.rs
@@ -57,3 +57,25 @@
         f64::from(self.0.max(1))
     }
 }
+
+/// `RequestRate` is a number of requests per second, with a resolution of a thousandth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[display("{}", self.per_second())]
+#[serde(transparent)]
+pub struct RequestRate(u32);
+
+impl RequestRate {
+    /// Converts from requests per second; `None` when `per_second` is negative or not a number.
+    /// Rates above 4 million per second are rounded down to that.
+    #[must_use]
+    pub fn from_per_second(per_second: f64) -> Option<Self> {
+        // The conversion saturates.
+        (per_second >= 0.0).then_some(Self((per_second * 1_000.0) as u32))
+    }
+
+    /// Returns the rate in requests per second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, StatusCode};
 use samphiresill_core::name::{CustomerName, RequestId, TargetName};
 use samphiresill_core::routing::RoutingTable;
+use samphiresill_core::units::RequestRate;
 use samphiresill_sched::fleet::request::{Generation, PromptPart};
 
 /// `CallerHead` is the information in the headers of a caller's request.
@@ -41,7 +42,7 @@
 }
 
 /// `ResponseHead` is the information in the head of a target's response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
     /// Whether the response contains the id of the request that was sent.
     pub echoes_request: bool,
@@ -49,6 +50,9 @@
     pub is_unexecuted: bool,
     /// Whether the response carries the target's signature.
     pub is_signed: bool,
+    /// The requests per second that the target takes from all routers together; `None` when it names
+    /// no limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// `DecodeError` is the reason why a document could not be decoded, and its location.
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -80,6 +80,8 @@
     stream_ends: Counter<u64>,
     crashes: Counter<u64>,
     quarantined: Gauge<u64>,
+    limited_responses: Counter<u64>,
+    limited_targets: Gauge<u64>,
     first_event_time: Histogram<f64>,
     request_time: Histogram<f64>,
     queueing_time: Histogram<f64>,
@@ -106,6 +108,8 @@
             stream_ends: meter.u64_counter("gateway_stream_ends").build(),
             crashes: meter.u64_counter("gateway_target_crashes").build(),
             quarantined: meter.u64_gauge("gateway_quarantined_parts").build(),
+            limited_responses: meter.u64_counter("gateway_limited_responses").build(),
+            limited_targets: meter.u64_gauge("gateway_limited_targets").build(),
             first_event_time: histogram(&meter, "gateway_first_event_seconds"),
             request_time: histogram(&meter, "gateway_request_seconds"),
             queueing_time: histogram(&meter, "gateway_queueing_seconds"),
@@ -162,6 +166,16 @@
         self.quarantined.record(parts as u64, &[]);
     }
 
+    /// Counts a response whose target names a limit on the requests to it.
+    pub fn record_limited_response(&self) {
+        self.limited_responses.add(1, &[]);
+    }
+
+    /// Records the number of targets that name such a limit.
+    pub fn record_limited_targets(&self, targets: usize) {
+        self.limited_targets.record(targets as u64, &[]);
+    }
+
     /// Records the time to the first event of a stream.
     pub fn record_first_event(&self, took: Duration) {
         self.first_event_time.record(took.as_secs_f64(), &[]);
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -12,6 +12,7 @@
 use samphiresill_member::roles::{self, Roles};
 
 use super::frame::Frame;
+use super::limit_log::LimitLog;
 use super::quarantine::NoticesSent;
 use super::{Peers, placement, warm_up};
 use crate::gateway::Gateway;
@@ -67,6 +68,7 @@
     pub(super) behind_since: Option<Duration>,
     pub(super) is_fetching: Arc<AtomicBool>,
     pub(super) notices_sent: NoticesSent,
+    pub(super) limit_log: LimitLog,
 }
 
 impl Driver {
@@ -122,6 +124,7 @@
             behind_since: None,
             is_fetching: Arc::default(),
             notices_sent: NoticesSent::default(),
+            limit_log: LimitLog::default(),
         }
     }
 
@@ -264,6 +267,7 @@
             self.swept_at = now;
             self.gateway.fleet_load().sweep(now);
             self.log_ejections(now);
+            self.limit_log.update(&self.gateway, now);
             let quarantined = self.gateway.fleet_load().quarantine().len(now);
             self.gateway.metrics.record_quarantined(quarantined);
             // A report may also arrive after its crash was judged.
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod driver;
 pub mod frame;
+mod limit_log;
 mod load;
 pub mod placement;
 mod quarantine;
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::request_context::RequestContext;
 use crate::connection::{self, Connection};
-use crate::dialect::ForwardMetadata;
+use crate::dialect::{ForwardMetadata, ResponseHead};
 use crate::gateway::Gateway;
 
 /// Timeout for establishing a connection to a target: several round trips.
@@ -181,6 +181,7 @@
         };
         let mut connection = acquired?;
         let req = target_request(gateway, ctx, placement, resume_after);
+        let sent_at = gateway.clock.monotonic();
         match connection.send(req).await {
             // That an idle connection was closed does not indicate a failure of the target.
             Err(connection::Error::Unsent) if !needs_new_connection => needs_new_connection = true,
@@ -192,7 +193,7 @@
                     body,
                     connection,
                 };
-                return validate(gateway, ctx, placement, response).await;
+                return validate(gateway, ctx, placement, response, sent_at).await;
             }
         }
     }
@@ -218,6 +219,22 @@
     req
 }
 
+/// Records what a response tells about the load that its target accepts.
+fn observe_directives(
+    gateway: &Gateway,
+    placement: &Placement,
+    info: &ResponseHead,
+    sent_at: Duration,
+) {
+    if info.rate_limit.is_some() {
+        gateway.metrics.record_limited_response();
+    }
+    let now = gateway.clock.monotonic();
+    gateway
+        .fleet_load()
+        .observe_limit(placement, info.rate_limit, sent_at, now);
+}
+
 /// Checks that a response may be delivered to the caller: the target executed this request, signed
 /// a successful response, and did not encode the body or switch protocols.
 async fn validate(
@@ -225,6 +242,7 @@
     ctx: &RequestContext,
     placement: &Placement,
     response: TargetResponse,
+    sent_at: Duration,
 ) -> Result<TargetResponse, Failure> {
     let TargetResponse {
         head,
@@ -234,6 +252,10 @@
     let info = gateway
         .dialect
         .response_head(&ctx.request, head.status, &head.headers);
+    let is_from_target = info.echoes_request || info.is_unexecuted;
+    if is_from_target && head.status != StatusCode::MISDIRECTED_REQUEST {
+        observe_directives(gateway, placement, &info, sent_at);
+    }
     if info.is_unexecuted {
         // The body is read to its end so that the connection can be reused.
         let drained = body.collect().await;
--- /dev/null
+++ b/samphiresill-sched/src/fleet/directive/mod.rs
@@ -0,0 +1,138 @@
+//! What targets have told routers about the load that they accept.
+//!
+//! Handles the load pattern in which a target is in need and takes fewer requests than its slots
+//! suggest: it names a limit in its responses, which binds all routers together.
+//!
+//! Invariants: a directive holds for one instance of a target, and survives gaps in the directory; of
+//! targets that are not listed, directives are kept for [`UNLISTED_RETENTION`] only.
+
+pub mod rate_limit;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use samphiresill_core::name::TargetName;
+use samphiresill_core::routing::TargetEntry;
+use samphiresill_core::units::RequestRate;
+
+use self::rate_limit::RateLimit;
+
+/// Time for which the directives of a target that is not listed are kept: entries of live targets
+/// may lapse while the store is away.
+const UNLISTED_RETENTION: Duration = Duration::from_mins(1);
+/// Time after which a limit that is named again is published again, in case the event was lost.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// `TargetDirectives` are the directives of one instance of a target.
+#[derive(Clone, Debug)]
+struct TargetDirectives {
+    /// Start of the instance; `None` while the target is not listed.
+    started_ms: Option<u64>,
+    /// When the target was last known to be listed, or first heard of.
+    listed_at: Duration,
+    limit: Option<RateLimit>,
+}
+
+/// `Directives` are the directives of all targets, as far as a router knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Directives {
+    targets: BTreeMap<TargetName, TargetDirectives>,
+}
+
+impl Directives {
+    /// Whether a response that names `rate` tells more than what was published recently.
+    #[must_use]
+    pub fn is_limit_news(&self, target: &TargetName, rate: RequestRate, now: Duration) -> bool {
+        self.limit(target).is_none_or(|limit| {
+            limit.rate() != rate || now.saturating_sub(limit.named_at()) >= REPEAT_INTERVAL
+        })
+    }
+
+    /// Whether a response without a limit, to a request that was sent at `sent_at`, shows that the
+    /// limit has ended. A response to an earlier request may have overtaken one that names it.
+    #[must_use]
+    pub fn is_limit_over(&self, target: &TargetName, sent_at: Duration) -> bool {
+        self.limit(target)
+            .is_some_and(|limit| sent_at > limit.named_at())
+    }
+
+    /// Records that a target, of which `listed` is the entry, has named a limit.
+    pub fn record_limit(
+        &mut self,
+        target: &TargetName,
+        listed: Option<&TargetEntry>,
+        rate: RequestRate,
+        now: Duration,
+    ) {
+        let directives = self.entry(target, listed, now);
+        match &mut directives.limit {
+            Some(limit) => limit.name(rate, now),
+            None => directives.limit = Some(RateLimit::new(rate, now)),
+        }
+    }
+
+    /// Records that a target no longer names a limit.
+    pub fn end_limit(&mut self, target: &TargetName) {
+        if let Some(directives) = self.targets.get_mut(target) {
+            directives.limit = None;
+        }
+    }
+
+    /// Counts a request that was sent to a target.
+    pub fn record_start(&mut self, target: &TargetName, now: Duration) {
+        let directives = self.targets.get_mut(target);
+        if let Some(limit) = directives.and_then(|d| d.limit.as_mut()) {
+            limit.record_start(now);
+        }
+    }
+
+    /// Returns the limit of a target.
+    #[must_use]
+    pub fn limit(&self, target: &TargetName) -> Option<&RateLimit> {
+        self.targets.get(target)?.limit.as_ref()
+    }
+
+    /// Returns all limits, by target.
+    pub fn limits(&self) -> impl Iterator<Item = (&TargetName, &RateLimit)> {
+        let limits = self.targets.iter();
+        limits.filter_map(|(name, d)| Some((name, d.limit.as_ref()?)))
+    }
+
+    /// Drops the directives of earlier instances of the listed targets.
+    pub fn set_targets(&mut self, entries: &[TargetEntry]) {
+        for entry in entries {
+            let Some(directives) = self.targets.get_mut(&entry.name) else {
+                continue;
+            };
+            let known = directives.started_ms.replace(entry.started_ms);
+            if known.is_some_and(|known| known != entry.started_ms) {
+                self.targets.remove(&entry.name);
+            }
+        }
+    }
+
+    /// Drops directives that no longer matter. `is_listed` tells which targets are listed.
+    pub fn sweep(&mut self, is_listed: impl Fn(&TargetName) -> bool, now: Duration) {
+        self.targets.retain(|name, directives| {
+            if is_listed(name) {
+                directives.listed_at = now;
+            }
+            let is_recent = now.saturating_sub(directives.listed_at) < UNLISTED_RETENTION;
+            is_recent && directives.limit.is_some()
+        });
+    }
+
+    fn entry(
+        &mut self,
+        target: &TargetName,
+        listed: Option<&TargetEntry>,
+        now: Duration,
+    ) -> &mut TargetDirectives {
+        let directives = self.targets.entry(target.clone());
+        directives.or_insert_with(|| TargetDirectives {
+            started_ms: listed.map(|entry| entry.started_ms),
+            listed_at: now,
+            limit: None,
+        })
+    }
+}
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -1,6 +1,7 @@
 //! Changes of the fleet's load that routers send to each other.
 
 use samphiresill_core::name::{CustomerName, TargetName};
+use samphiresill_core::units::RequestRate;
 use serde::{Deserialize, Serialize};
 
 use super::quarantine::evidence::Suspect;
@@ -96,4 +97,11 @@
         /// Parts of their prompts.
         suspects: Vec<Suspect>,
     },
+    /// A target has named a limit on the requests from all routers, or names none any more.
+    RateLimit {
+        /// The target.
+        target: TargetName,
+        /// The limit; `None` when it has ended.
+        rate: Option<RequestRate>,
+    },
 }
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -6,6 +6,7 @@
 //! Invariant: a run is counted on at most one target, and only until its end is known.
 
 mod crashes;
+mod directives;
 pub mod place;
 mod target;
 
@@ -18,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::target::{Target, TargetLoad};
+use super::directive::Directives;
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
 use super::quarantine::Quarantine;
@@ -77,6 +79,7 @@
     refused: BTreeMap<u64, Duration>,
     crash_evidence: CrashEvidence,
     quarantine: Quarantine,
+    directives: Directives,
     /// Events to send to the other routers.
     outbox: Vec<Event>,
 }
@@ -99,6 +102,7 @@
             refused: BTreeMap::new(),
             crash_evidence: CrashEvidence::default(),
             quarantine: Quarantine::default(),
+            directives: Directives::default(),
             outbox: Vec::new(),
         }
     }
@@ -112,6 +116,7 @@
     /// Replaces the targets and the configuration of their services. The load of a target is kept
     /// until the target restarts or changes its service.
     pub fn set_targets(&mut self, entries: &[TargetEntry], table: &RoutingTable) {
+        self.directives.set_targets(entries);
         let mut old = std::mem::take(&mut self.targets);
         for entry in entries {
             let engine = table.services.get(&entry.service).and_then(|s| s.engine);
@@ -322,6 +327,9 @@
     /// and raises the queueing limit.
     pub fn sweep(&mut self, now: Duration) {
         self.queue_limit.recover();
+        let targets = &self.targets;
+        self.directives
+            .sweep(|name| targets.contains_key(name), now);
         let min_started_at = now.saturating_sub(MAX_RUN_AGE);
         let mut ended = Vec::new();
         for (name, target) in &self.targets {
@@ -382,6 +390,7 @@
                 if let (Some(customer), Some(generation)) = (customer, generation) {
                     self.shares.add_service(customer, generation.cost(), now);
                 }
+                self.directives.record_start(target, now);
                 if let Some(target) = self.targets.get_mut(target) {
                     let generation = generation.as_ref().map(|g| (g, *prefill_tokens));
                     target.load.start(*run, generation, now);
@@ -439,6 +448,13 @@
                     target.health.reported_stalled(now);
                 }
             }
+            Event::RateLimit { target, rate } => match rate {
+                Some(rate) => {
+                    let listed = self.targets.get(target).map(|t| &t.entry);
+                    self.directives.record_limit(target, listed, *rate, now);
+                }
+                None => self.directives.end_limit(target),
+            },
         }
     }
 
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -14,9 +14,11 @@
 //! - requests arrive in bursts: [`queueing`];
 //! - one router receives more callers than its processor can serve: [`overload`];
 //! - a target fails, stalls or slows down under load: [`health`];
-//! - requests with one part of a prompt crash each engine that answers them: [`quarantine`].
+//! - requests with one part of a prompt crash each engine that answers them: [`quarantine`];
+//! - a target tells that it accepts less load than usual: [`directive`].
 
 pub mod admission;
+pub mod directive;
 pub mod engine;
 pub mod event;
 pub mod health;
