--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -6,4 +6,5 @@
 mod learning;
 mod patterns;
 mod quarantine;
+mod rate_limit;
 mod simulation;
