Keep to the limits that targets name, on all routers together

Callers saw nothing yet; engines in need got two to three times the requests that they had named as their limit, the sum over all routers.

Cause: the limit was in each answer, and no router read it. Class: a back-pressure signal of a target that is shared by all of its clients, but acted on by none.

Each scheduler keeps a token bucket for each limited target, from which every request of the fleet takes, by the load events that replicate runs anyway. A target without tokens is no candidate. Schedulers that decide within one exchange of events may take the same token: the bucket then goes into debt, and the tokens that a request needs are spread, so that this is rare. Customers above their share need half a token more. A router that places requests alone, because no scheduler replies, uses one part in n of each limit. A gateway that has just started is told the limits by its peers; they are in no store, since every answer renews them.

--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -10,6 +10,7 @@
 use samphiresill_member::member::{Health, Incarnation, Member};
 use samphiresill_member::membership::{self, Membership, Message, Output};
 use samphiresill_member::roles::{self, Roles};
+use samphiresill_sched::fleet::directive::rate_limit::LimitShare;
 
 use super::frame::Frame;
 use super::limit_log::LimitLog;
@@ -172,6 +173,7 @@
                     let frame = Frame::Load(self.empty_frame());
                     self.peers.send(&frame, std::iter::once(from)).await;
                     self.send_all_notices(from, now).await;
+                    self.send_directives(from).await;
                 }
             }
             Ok(Frame::PlacementRequest(frame)) => {
@@ -230,8 +232,13 @@
         let usable = self.membership.usable().len();
         // Dead members are included: one that is only partitioned from this gateway may still send
         // requests.
-        self.gateway
-            .set_router_count(self.membership.members().len().max(usable));
+        let routers = self.membership.members().len().max(usable);
+        self.gateway.set_router_count(routers);
+        self.gateway.fleet_load().set_limit_share(if is_scheduler {
+            LimitShare::Whole
+        } else {
+            LimitShare::OneOf(routers)
+        });
         if is_new {
             log::info!(
                 members = usable, schedulers = self.roles.schedulers.len(), is_scheduler;
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -127,6 +127,19 @@
         receivers
     }
 
+    /// Tells a gateway that has just started what targets have told this one.
+    pub(super) async fn send_directives(&self, to: SocketAddr) {
+        let events = self.gateway.fleet_load().directive_events();
+        if events.is_empty() {
+            return;
+        }
+        for frame in self.load_frames(events, false) {
+            self.peers
+                .send(&Frame::Load(frame), std::iter::once(to))
+                .await;
+        }
+    }
+
     /// Removes clients that have not sent a frame recently, and returns the others.
     pub(super) fn live_clients(&mut self, now: Duration) -> Vec<SocketAddr> {
         self.clients
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -54,6 +54,9 @@
     /// A part of the prompt has crashed engines.
     #[display("quarantined prompt part")]
     Quarantined,
+    /// All usable targets of the service have got as many requests as they take.
+    #[display("target limit")]
+    TargetLimit,
 }
 
 /// `Basis` holds the inputs of a refusal, for the log.
--- a/samphiresill-sched/src/fleet/directive/mod.rs
+++ b/samphiresill-sched/src/fleet/directive/mod.rs
@@ -15,7 +15,7 @@
 use samphiresill_core::routing::TargetEntry;
 use samphiresill_core::units::RequestRate;
 
-use self::rate_limit::RateLimit;
+use self::rate_limit::{Claim, LimitShare, RateLimit};
 
 /// Time for which the directives of a target that is not listed are kept: entries of live targets
 /// may lapse while the store is away.
@@ -37,6 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directives {
     targets: BTreeMap<TargetName, TargetDirectives>,
+    limit_share: LimitShare,
 }
 
 impl Directives {
@@ -56,21 +57,37 @@
             .is_some_and(|limit| sent_at > limit.named_at())
     }
 
-    /// Records that a target, of which `listed` is the entry, has named a limit.
+    /// Records that a target, of which `listed` is the entry, has named a limit. `tokens` of it may
+    /// be used at once when it is new.
     pub fn record_limit(
         &mut self,
         target: &TargetName,
         listed: Option<&TargetEntry>,
-        rate: RequestRate,
+        (rate, tokens): (RequestRate, f64),
         now: Duration,
     ) {
+        let share = self.limit_share;
         let directives = self.entry(target, listed, now);
         match &mut directives.limit {
-            Some(limit) => limit.name(rate, now),
-            None => directives.limit = Some(RateLimit::new(rate, now)),
+            Some(limit) => limit.name(rate, share, now),
+            None => directives.limit = Some(RateLimit::new(rate, tokens, now)),
         }
     }
 
+    /// Sets the part of each limit that this router may use.
+    pub fn set_limit_share(&mut self, share: LimitShare) {
+        self.limit_share = share;
+    }
+
+    /// Returns the time until the limit of a target allows a request; zero when it does so now.
+    #[must_use]
+    pub fn limit_wait(&self, target: &TargetName, claim: Claim, now: Duration) -> Duration {
+        let limit = self.limit(target);
+        limit.map_or(Duration::ZERO, |limit| {
+            limit.wait(claim, self.limit_share, now)
+        })
+    }
+
     /// Records that a target no longer names a limit.
     pub fn end_limit(&mut self, target: &TargetName) {
         if let Some(directives) = self.targets.get_mut(target) {
@@ -82,7 +99,7 @@
     pub fn record_start(&mut self, target: &TargetName, now: Duration) {
         let directives = self.targets.get_mut(target);
         if let Some(limit) = directives.and_then(|d| d.limit.as_mut()) {
-            limit.record_start(now);
+            limit.record_start(self.limit_share, now);
         }
     }
 
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -450,8 +450,10 @@
             }
             Event::RateLimit { target, rate } => match rate {
                 Some(rate) => {
+                    let tokens = self.first_limit_tokens(target);
                     let listed = self.targets.get(target).map(|t| &t.entry);
-                    self.directives.record_limit(target, listed, *rate, now);
+                    self.directives
+                        .record_limit(target, listed, (*rate, tokens), now);
                 }
                 None => self.directives.end_limit(target),
             },
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -9,6 +9,7 @@
 use super::target::{Target, TargetLoad};
 use super::{FleetLoad, Placement, started_event};
 use crate::fleet::admission::{self, Candidate, Reason, Refusal};
+use crate::fleet::directive::rate_limit::Claim;
 use crate::fleet::engine::Estimate;
 use crate::fleet::event::Event;
 use crate::fleet::request::{Generation, PlacementRequest, RunId};
@@ -41,6 +42,41 @@
     total_prefill_rate: f64,
 }
 
+/// `Unavailable` is why no target can get a request.
+struct Unavailable {
+    reason: Reason,
+    /// Time until a target takes a request, where its limit tells.
+    available_in: Duration,
+}
+
+impl From<Reason> for Unavailable {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            available_in: Duration::ZERO,
+        }
+    }
+}
+
+impl Unavailable {
+    /// Records that the limit of a target allows a request only after `wait`.
+    fn limited(&mut self, wait: Duration) {
+        let is_first = self.reason != Reason::TargetLimit;
+        self.available_in = if is_first {
+            wait
+        } else {
+            wait.min(self.available_in)
+        };
+        self.reason = Reason::TargetLimit;
+    }
+
+    fn refusal(&self, req: &PlacementRequest<'_>, jitter: f64) -> Refusal {
+        let delay = self.available_in.max(NO_TARGET_RETRY_AFTER);
+        let retry_after = admission::retry_after(delay, req.time_left, jitter);
+        Refusal::new(self.reason, retry_after)
+    }
+}
+
 impl FleetLoad {
     /// Selects a target for a request and counts the run there, or refuses the request. `jitter` is
     /// uniform over 0 to 1.
@@ -98,12 +134,13 @@
             self.shares.add_demand(customer, cost, now);
         }
         self.queue.remove(fingerprint);
+        let share_ratio = req.customer.map_or(0.0, |c| self.shares.ratio(c, now));
+        let claim = Claim::new(share_ratio > 1.0, jitter);
         let chosen = self
-            .best_engine(req, generation, now)
-            .map_err(|reason| {
-                let retry_after =
-                    admission::retry_after(NO_TARGET_RETRY_AFTER, req.time_left, jitter);
-                Refusal::new(reason, retry_after)
+            .best_engine(req, generation, claim, now)
+            .map_err(|unavailable| Refusal {
+                recheck_in: self.recheck_limit(req, &unavailable, jitter),
+                ..unavailable.refusal(req, jitter)
             })
             .and_then(|best| {
                 self.admit(req, &best, jitter, now)
@@ -162,6 +199,22 @@
         })
     }
 
+    /// Returns when to try again to place a request that only the limits of engines prevent.
+    fn recheck_limit(
+        &self,
+        req: &PlacementRequest<'_>,
+        unavailable: &Unavailable,
+        jitter: f64,
+    ) -> Option<Duration> {
+        if unavailable.reason != Reason::TargetLimit {
+            return None;
+        }
+        let objective = req.latency_objective;
+        let wait = unavailable.available_in;
+        self.queue_limit
+            .recheck_in(objective, req.waited, wait, jitter)
+    }
+
     /// Queues a request when its refusal is not final.
     fn enqueue(&mut self, fingerprint: u64, best: &Choice, refusal: &Refusal, now: Duration) {
         if let Some(delay) = refusal.recheck_in {
@@ -175,9 +228,10 @@
         &self,
         req: &PlacementRequest<'_>,
         generation: &Generation,
+        claim: Claim,
         now: Duration,
-    ) -> Result<Choice, Reason> {
-        let mut reason = Reason::NoTarget;
+    ) -> Result<Choice, Unavailable> {
+        let mut unavailable = Unavailable::from(Reason::NoTarget);
         let mut best: Option<(f64, &Target, Estimate)> = None;
         let mut total_prefill_rate = 0.0;
         let copy_source = self.copy_source(req, generation, now);
@@ -188,7 +242,12 @@
             };
             total_prefill_rate += load.prefill_rate();
             if !load.has_capacity(generation) {
-                reason = Reason::NoRoom;
+                unavailable.reason = Reason::NoRoom;
+                continue;
+            }
+            let wait = self.directives.limit_wait(&target.entry.name, claim, now);
+            if !wait.is_zero() {
+                unavailable.limited(wait);
                 continue;
             }
             let estimate = load.estimate(generation, cached_elsewhere, now);
@@ -198,7 +257,7 @@
                 best = Some((cost, target, estimate));
             }
         }
-        let (_, target, estimate) = best.ok_or(reason)?;
+        let (_, target, estimate) = best.ok_or(unavailable)?;
         let source = copy_source.filter(|_| estimate.copied_tokens > 0);
         Ok(Choice {
             name: target.entry.name.clone(),
@@ -236,18 +295,24 @@
         jitter: f64,
         now: Duration,
     ) -> Result<Choice, Refusal> {
+        let claim = Claim::new(false, jitter);
+        let mut unavailable = Unavailable::from(Reason::NoTarget);
         let costs = self.candidates(req, now).filter_map(|target| {
             let TargetLoad::Plain(load) = &target.load else {
                 return None;
             };
+            let wait = self.directives.limit_wait(&target.entry.name, claim, now);
+            if !wait.is_zero() {
+                unavailable.limited(wait);
+                return None;
+            }
             let expected = load.expected_latency();
             let cost = expected.as_secs_f64() * 1_000.0 + domain_cost_ms(req.domain, &target.entry);
             Some((cost, target, expected, load.has_free_slot()))
         });
         let Some((_, target, expected, has_free_slot)) = costs.min_by(|a, b| a.0.total_cmp(&b.0))
         else {
-            let retry_after = admission::retry_after(NO_TARGET_RETRY_AFTER, req.time_left, jitter);
-            return Err(Refusal::new(Reason::NoTarget, retry_after));
+            return Err(unavailable.refusal(req, jitter));
         };
         if expected > req.time_left && !has_free_slot {
             let retry_after = admission::retry_after(expected, req.time_left, jitter);
--- a/samphiresill-sched/src/fleet/tests/rate_limit.rs
+++ b/samphiresill-sched/src/fleet/tests/rate_limit.rs
@@ -11,6 +11,7 @@
 use samphiresill_core::units::RequestRate;
 
 use super::simulation::{Request, entry, service, table};
+use crate::fleet::directive::rate_limit::LimitShare;
 use crate::fleet::event::{Event, RunResult};
 use crate::fleet::load::{FleetLoad, Placement};
 
@@ -43,6 +44,8 @@
     loss: f64,
     /// When the first scheduler starts again without a memory.
     restart_at: Option<Duration>,
+    /// Whether the routers know only their own requests, because no scheduler replies.
+    are_alone: bool,
 }
 
 impl Default for Case {
@@ -54,6 +57,7 @@
             are_engines: true,
             loss: 0.0,
             restart_at: None,
+            are_alone: false,
         }
     }
 }
@@ -78,6 +82,9 @@
         entry
     });
     fleet_load.set_targets(&entries.collect::<Vec<_>>(), &table());
+    if case.are_alone {
+        fleet_load.set_limit_share(LimitShare::OneOf(case.schedulers));
+    }
     fleet_load
 }
 
@@ -109,7 +116,7 @@
                 play.send(ms, now);
             }
             play.receive(case, now);
-            if ms % FLUSH_INTERVAL == 0 {
+            if ms % FLUSH_INTERVAL == 0 && !case.are_alone {
                 play.exchange(case.loss, now);
             }
             if ms % 500 == 0 {
@@ -147,7 +154,7 @@
         let schedulers = &mut self.schedulers;
         self.in_flight.retain(|(index, placement, sent_at)| {
             let scheduler = &mut schedulers[*index];
-            let age = now - *sent_at;
+            let age = now.saturating_sub(*sent_at);
             if age == RESPONSE_TIME {
                 let number: usize = placement.target[1..].parse().expect("a number");
                 let rate = case.limits[number].and_then(RequestRate::from_per_second);
@@ -210,6 +217,7 @@
 #[case::all_of_a_plain_service(Case { limits: vec![Some(5.0), Some(3.0)], are_engines: false, ..Case::default() })]
 #[case::lost_datagrams(Case { limits: vec![Some(5.3), Some(2.6), None], loss: 0.1, ..Case::default() })]
 #[case::a_restart(Case { limits: vec![Some(5.3), Some(2.6), None], restart_at: Some(Duration::from_secs(8)), ..Case::default() })]
+#[case::without_schedulers(Case { schedulers: 40, limits: vec![Some(5.3), Some(12.0), None], demand: 400.0, are_alone: true, ..Case::default() })]
 fn the_fleet_keeps_to_the_limits_of_targets(#[case] case: Case) {
     for seed in 0..5 {
         let play = Play::run(&case, seed);
@@ -222,7 +230,7 @@
                 "target {target}: {most} requests in 4 s at {limit} a second, seed {seed}"
             );
             let got = play.arrivals_from(target, SECOND + STABLE_AFTER).len() as f64;
-            let due = limit * (PLAY_TIME - STABLE_AFTER).as_secs_f64();
+            let due = limit * PLAY_TIME.saturating_sub(STABLE_AFTER).as_secs_f64();
             assert!(
                 got >= due * MIN_USE - 1.0,
                 "target {target} got {got} of {due} requests, seed {seed}"
