A response on its way does not end a limit that a target names meanwhile

A router without the latest limit that gets a response without one told all schedulers that the limit had ended, also when another response had named it since. The event says how old the request is, and each scheduler keeps a limit that was named after the request was sent.

--- a/samphiresill-sched/src/fleet/directive/mod.rs
+++ b/samphiresill-sched/src/fleet/directive/mod.rs
@@ -88,9 +88,11 @@
         })
     }
 
-    /// Records that a target no longer names a limit.
-    pub fn end_limit(&mut self, target: &TargetName) {
-        if let Some(directives) = self.targets.get_mut(target) {
+    /// Records that the response to a request that was sent at `sent_at` named no limit any more.
+    pub fn end_limit(&mut self, target: &TargetName, sent_at: Duration) {
+        if self.is_limit_over(target, sent_at)
+            && let Some(directives) = self.targets.get_mut(target)
+        {
             directives.limit = None;
         }
     }
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -103,5 +103,7 @@
         target: TargetName,
         /// The limit; `None` when it has ended.
         rate: Option<RequestRate>,
+        /// Time since the request was sent whose response told that, in milliseconds.
+        sent_ms_ago: u32,
     },
 }
--- a/samphiresill-sched/src/fleet/load/directives.rs
+++ b/samphiresill-sched/src/fleet/load/directives.rs
@@ -26,8 +26,32 @@
             None => self.directives.is_limit_over(target, sent_at),
         };
         if is_new {
-            let target = target.clone();
-            self.publish(Event::RateLimit { target, rate }, now);
+            let age_ms = now.saturating_sub(sent_at).as_millis();
+            let event = Event::RateLimit {
+                target: target.clone(),
+                rate,
+                // Rounded down, so that the request does not seem older than the limit.
+                sent_ms_ago: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            };
+            self.publish(event, now);
+        }
+    }
+
+    pub(super) fn apply_limit(
+        &mut self,
+        target: &TargetName,
+        rate: Option<RequestRate>,
+        sent_ms_ago: u32,
+        now: Duration,
+    ) {
+        if let Some(rate) = rate {
+            let tokens = self.first_limit_tokens(target);
+            let listed = self.targets.get(target).map(|t| &t.entry);
+            self.directives
+                .record_limit(target, listed, (rate, tokens), now);
+        } else {
+            let age = Duration::from_millis(u64::from(sent_ms_ago));
+            self.directives.end_limit(target, now.saturating_sub(age));
         }
     }
 
@@ -42,13 +66,14 @@
         let event = |(target, limit): (&TargetName, &RateLimit)| Event::RateLimit {
             target: target.clone(),
             rate: Some(limit.rate()),
+            sent_ms_ago: 0,
         };
         self.directives.limits().map(event).collect()
     }
 
     /// Returns the part of a request, 0 to 1, that a new limit of a target has saved. It differs by
     /// router, so that routers without a scheduler do not use their shares at the same moment.
-    pub(super) fn first_limit_tokens(&self, target: &TargetName) -> f64 {
+    fn first_limit_tokens(&self, target: &TargetName) -> f64 {
         let hash = blake3::hash(format!("{} {target}", self.origin).as_bytes());
         f64::from(hash.as_bytes()[0]) / 256.0
     }
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -448,15 +448,11 @@
                     target.health.reported_stalled(now);
                 }
             }
-            Event::RateLimit { target, rate } => match rate {
-                Some(rate) => {
-                    let tokens = self.first_limit_tokens(target);
-                    let listed = self.targets.get(target).map(|t| &t.entry);
-                    self.directives
-                        .record_limit(target, listed, (*rate, tokens), now);
-                }
-                None => self.directives.end_limit(target),
-            },
+            Event::RateLimit {
+                target,
+                rate,
+                sent_ms_ago,
+            } => self.apply_limit(target, *rate, *sent_ms_ago, now),
         }
     }
 
--- a/samphiresill-sched/src/fleet/tests/rate_limit.rs
+++ b/samphiresill-sched/src/fleet/tests/rate_limit.rs
@@ -273,3 +273,34 @@
     let unlimited = (0..100).filter_map(|n| place(None, 7 * SECOND + 30 * MS * n));
     assert_eq!(served(unlimited.count()), 100);
 }
+
+/// A response that was on its way when the target named its limit does not end the limit, on no
+/// router.
+#[test]
+fn an_earlier_response_does_not_end_a_limit() {
+    let case = Case {
+        limits: vec![None],
+        ..Case::default()
+    };
+    let mut routers = [1, 2].map(|origin| new_scheduler(origin, &case, &service()));
+    let [first, second] = &mut routers;
+    let request = Request::new("a", (1, 100), (2, 100), 10);
+    let (service, domain) = (service(), DomainName::from("d0"));
+    let req = request.placement_request(&service, &domain);
+    let place = |router: &mut FleetLoad, at| {
+        let run = router.next_run();
+        router.place(&req, run, 0.5, at).expect("a placement")
+    };
+    let rate = RequestRate::from_per_second(2.0);
+    // The first router knows a limit of long ago, the second one none.
+    let old = place(first, SECOND);
+    first.observe_limit(&old, rate, SECOND, SECOND);
+    first.take_events();
+    let without_limit = place(first, 10 * SECOND);
+    let with_limit = place(second, 10 * SECOND + MS);
+    second.observe_limit(&with_limit, rate, 10 * SECOND + MS, 10 * SECOND + 40 * MS);
+    first.observe_limit(&without_limit, None, 10 * SECOND, 10 * SECOND + 30 * MS);
+    second.apply(first.take_events(), false, 10 * SECOND + 60 * MS);
+    let limits = second.directives().limits();
+    assert_eq!(limits.count(), 1, "the limit that was named last holds");
+}
