--- a/samphiresill-gateway/src/connection/call.rs
+++ b/samphiresill-gateway/src/connection/call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Request, StatusCode, http};
+use hyper::{Request, Response, http};
 
 use super::Error;
 use super::pool::Pool;
@@ -17,7 +17,7 @@
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Sends a GET request and returns the status and the complete body.
+/// Sends a GET request and returns the response with its complete body.
 ///
 /// # Errors
 /// As for a [`super::Connection`]; `Truncated` when the body ends prematurely or is too large;
@@ -27,12 +27,12 @@
     address: SocketAddr,
     path: &str,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     let req = Request::get(path).body(Full::default());
     call(pool, address, req, timeout).await
 }
 
-/// Sends a POST request with a JSON document and returns the status and the complete body.
+/// Sends a POST request with a JSON document and returns the response with its complete body.
 ///
 /// # Errors
 /// As for [`get`].
@@ -42,7 +42,7 @@
     path: &str,
     document: Bytes,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     let req = Request::post(path)
         .header(CONTENT_TYPE, "application/json")
         .body(Full::from(document));
@@ -54,7 +54,7 @@
     address: SocketAddr,
     req: http::Result<Request<Full<Bytes>>>,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     let req = req.expect("invariant: paths of calls are valid");
     tokio::time::timeout(timeout, exchange(pool, address, req))
         .await
@@ -65,7 +65,7 @@
     pool: &Pool,
     address: SocketAddr,
     mut req: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     let host = HeaderValue::from_str(&address.to_string());
     let host = host.expect("invariant: an address is a valid header value");
     req.headers_mut().insert(HOST, host);
@@ -78,5 +78,5 @@
         })?
         .to_bytes();
     pool.release(address, connection, &head.headers);
-    Ok((head.status, bytes))
+    Ok(Response::from_parts(head, bytes))
 }
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -82,9 +82,10 @@
 }
 
 async fn get(gateway: &Gateway, peer: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
-    let (status, bytes) = call::get(&gateway.peer_pool, peer, path, FETCH_TIMEOUT).await?;
+    let response = call::get(&gateway.peer_pool, peer, path, FETCH_TIMEOUT).await?;
+    let status = response.status();
     anyhow::ensure!(status == StatusCode::OK, "{path}: status {status}");
-    Ok(bytes)
+    Ok(response.into_body())
 }
 
 /// Fetches the contents of the engines' caches from another scheduler. Returns `None` when that
@@ -96,12 +97,13 @@
     gateway: &Gateway,
     peer: SocketAddr,
 ) -> anyhow::Result<Option<Caches>> {
-    let (status, bytes) = call::get(&gateway.peer_pool, peer, CACHES_PATH, FETCH_TIMEOUT).await?;
+    let response = call::get(&gateway.peer_pool, peer, CACHES_PATH, FETCH_TIMEOUT).await?;
+    let status = response.status();
     if status == StatusCode::NO_CONTENT {
         return Ok(None);
     }
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
-    Ok(Some(postcard::from_bytes(&decompress(&bytes)?)?))
+    Ok(Some(postcard::from_bytes(&decompress(response.body())?)?))
 }
 
 /// Encodes and compresses a snapshot. It compresses well because it has many similar entries.
--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -113,7 +113,8 @@
 
 async fn list_cache(gateway: &Gateway, engine: SocketAddr) -> anyhow::Result<Vec<PromptPart>> {
     let path = gateway.dialect.cache_list_path();
-    let (status, bytes) = call::get(&gateway.target_pool, engine, path, CACHE_LIST_TIMEOUT).await?;
+    let response = call::get(&gateway.target_pool, engine, path, CACHE_LIST_TIMEOUT).await?;
+    let status = response.status();
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
-    Ok(gateway.dialect.cache_list(&bytes)?)
+    Ok(gateway.dialect.cache_list(response.body())?)
 }
