--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -85,14 +85,17 @@
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let dialect = Arc::new(PlatformDialect);
     let routing_state = Arc::new(RoutingState::new(dialect.clone()));
-    let store = Store::new(settings.store, Arc::clone(&clock));
-    let watch = Watch::new(store, Arc::clone(&routing_state), Arc::clone(&clock));
+    let store = Arc::new(Store::new(settings.store, Arc::clone(&clock)));
+    let watch = Watch::new(
+        Arc::clone(&store),
+        Arc::clone(&routing_state),
+        Arc::clone(&clock),
+    );
     tokio::spawn(watch.run());
-    let own_store = Store::new(settings.store, Arc::clone(&clock));
     let instance_id = new_instance_id(&settings, clock.as_ref());
     let peers = Arc::new(Peers::bind(settings.listen.peers).await?);
     let gateway = Gateway::new(settings, clock, dialect, routing_state, peers, instance_id)?;
-    tokio::spawn(QuarantineTable::new(own_store, Arc::clone(&gateway)).run());
+    tokio::spawn(QuarantineTable::new(store, Arc::clone(&gateway)).run());
     tokio::spawn(watch_settings(Arc::clone(&gateway), path, logging));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
