--- a/samphiresill-gateway/src/knowledge/directory.rs
+++ b/samphiresill-gateway/src/knowledge/directory.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 use samphiresill_core::name::TargetName;
-use samphiresill_core::routing::TargetEntry;
+use samphiresill_core::routing::{TargetEntry, TargetState};
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of tombstones kept for routers that are behind: enough for several days at the
@@ -100,6 +100,26 @@
         self.version = self.version.max(newest.unwrap_or(0));
     }
 
+    /// Whether a change lists a target as ready that had left, or whose same instance had begun to
+    /// drain.
+    #[must_use]
+    pub fn is_return(&self, change: &Change) -> bool {
+        let Some(entry) = change.entry.as_ref() else {
+            return false;
+        };
+        if entry.state != TargetState::Ready {
+            return false;
+        }
+        self.rows
+            .get(&change.name)
+            .is_some_and(|known| match &known.entry {
+                None => true,
+                Some(known) => {
+                    known.state == TargetState::Draining && known.started_ms == entry.started_ms
+                }
+            })
+    }
+
     fn merge(&mut self, changes: Vec<Change>, version_floor: u64) {
         for change in changes {
             let known = self
--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Whether a change lists a target again that had left or begun to drain.
+    #[must_use]
+    pub fn is_return(&self, change: &Change) -> bool {
+        lock(&self.directory).is_return(change)
+    }
+
     /// Returns the changes of the directory that a router at version `after` is missing.
     #[must_use]
     pub fn directory_since(&self, after: u64) -> Update {
