Send no further requests to a target that says that it leaves

Requests reached targets that had told a router with an answer that they leave, until the directory said so too; with the store away, for as long as they lived.

Cause: nothing read the header. Class: as for the limits of targets, a signal of a target that none acts on.

The instance is remembered by name and start time, apart from the directory: gaps in it, older copies of it and an entry that still says ready do not bring the target back, its next start does. All schedulers are told by a load event, routers that have just started by their peers, and a router names what it avoids in its placement requests, so that a scheduler that has not heard yet keeps to it as well. Requests for which no other target is left are refused at once.

--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -50,9 +50,18 @@
     pub is_unexecuted: bool,
     /// Whether the response carries the target's signature.
     pub is_signed: bool,
+    /// What the target tells about the load that it accepts.
+    pub directives: Directives,
+}
+
+/// `Directives` are what a target tells in a response about the load that it accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Directives {
     /// The requests per second that the target takes from all routers together; `None` when it names
     /// no limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the target is about to stop and takes no further requests.
+    pub is_leaving: bool,
 }
 
 /// `DecodeError` is the reason why a document could not be decoded, and its location.
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -81,6 +81,8 @@
     pub has_run: bool,
     /// Whether this is the first attempt to place the request.
     pub is_first_attempt: bool,
+    /// Targets that may get no requests of the requesting gateway.
+    pub avoided: Vec<TargetName>,
 }
 
 impl PlacementRequestFrame {
@@ -99,6 +101,7 @@
             waited: req.waited,
             has_run: req.has_run,
             is_first_attempt: req.is_first_attempt,
+            avoided: req.avoided.to_vec(),
         }
     }
 
@@ -116,6 +119,7 @@
             waited: self.waited,
             has_run: self.has_run,
             is_first_attempt: self.is_first_attempt,
+            avoided: &self.avoided,
         }
     }
 }
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::request_context::RequestContext;
 use crate::connection::{self, Connection};
-use crate::dialect::{ForwardMetadata, ResponseHead};
+use crate::dialect::{Directives, ForwardMetadata};
 use crate::gateway::Gateway;
 
 /// Timeout for establishing a connection to a target: several round trips.
@@ -25,6 +25,9 @@
     gateway: Arc<Gateway>,
     /// Placement of the run.
     pub placement: Placement,
+    /// When the listed instance of its target started, in Unix milliseconds; `None` when it was not
+    /// listed.
+    started_ms: Option<u64>,
     result: RunResult,
 }
 
@@ -32,9 +35,11 @@
     /// Creates the guard of a run that is already counted by `placement`.
     #[must_use]
     pub fn new(gateway: Arc<Gateway>, placement: Placement) -> Self {
+        let started_ms = gateway.fleet_load().started_ms(&placement.target);
         Self {
             gateway,
             placement,
+            started_ms,
             result: RunResult::Unknown,
         }
     }
@@ -128,11 +133,11 @@
 pub async fn send(
     gateway: &Gateway,
     ctx: &RequestContext,
-    placement: &Placement,
+    run: &RunGuard,
     resume_after: Option<&str>,
     timeout: Duration,
 ) -> Result<TargetResponse, Failure> {
-    let exchange = exchange(gateway, ctx, placement, resume_after);
+    let exchange = exchange(gateway, ctx, run, resume_after);
     tokio::select! {
         sent = tokio::time::timeout(timeout, exchange) => match sent {
             Ok(result) => result,
@@ -166,9 +171,10 @@
 async fn exchange(
     gateway: &Gateway,
     ctx: &RequestContext,
-    placement: &Placement,
+    run: &RunGuard,
     resume_after: Option<&str>,
 ) -> Result<TargetResponse, Failure> {
+    let placement = &run.placement;
     let mut needs_new_connection = false;
     loop {
         let acquired = if needs_new_connection {
@@ -193,7 +199,7 @@
                     body,
                     connection,
                 };
-                return validate(gateway, ctx, placement, response, sent_at).await;
+                return validate(gateway, ctx, run, response, sent_at).await;
             }
         }
     }
@@ -220,19 +226,21 @@
 }
 
 /// Records what a response tells about the load that its target accepts.
-fn observe_directives(
-    gateway: &Gateway,
-    placement: &Placement,
-    info: &ResponseHead,
-    sent_at: Duration,
-) {
-    if info.rate_limit.is_some() {
+fn observe_directives(gateway: &Gateway, run: &RunGuard, told: Directives, sent_at: Duration) {
+    if told.rate_limit.is_some() {
         gateway.metrics.record_limited_response();
     }
     let now = gateway.clock.monotonic();
-    gateway
-        .fleet_load()
-        .observe_limit(placement, info.rate_limit, sent_at, now);
+    let target = &run.placement.target;
+    let mut fleet_load = gateway.fleet_load();
+    fleet_load.observe_limit(&run.placement, told.rate_limit, sent_at, now);
+    let started_ms = run.started_ms.filter(|_| told.is_leaving);
+    let is_new =
+        started_ms.is_some_and(|started_ms| fleet_load.record_leaving(target, started_ms, now));
+    drop(fleet_load);
+    if is_new {
+        log::info!(target:%, started_ms; "target leaves");
+    }
 }
 
 /// Checks that a response may be delivered to the caller: the target executed this request, signed
@@ -240,10 +248,11 @@
 async fn validate(
     gateway: &Gateway,
     ctx: &RequestContext,
-    placement: &Placement,
+    run: &RunGuard,
     response: TargetResponse,
     sent_at: Duration,
 ) -> Result<TargetResponse, Failure> {
+    let placement = &run.placement;
     let TargetResponse {
         head,
         body,
@@ -254,7 +263,7 @@
         .response_head(&ctx.request, head.status, &head.headers);
     let is_from_target = info.echoes_request || info.is_unexecuted;
     if is_from_target && head.status != StatusCode::MISDIRECTED_REQUEST {
-        observe_directives(gateway, placement, &info, sent_at);
+        observe_directives(gateway, run, info.directives, sent_at);
     }
     if info.is_unexecuted {
         // The body is read to its end so that the connection can be reused.
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -119,13 +119,7 @@
             let mut run = self.place().await?;
             let time_left = self.ctx.time_left(self.gateway.clock.monotonic());
             let timeout = self.response_timeout(time_left, run.placement.expected);
-            let sent = attempt::send(
-                &self.gateway,
-                &self.ctx,
-                &run.placement,
-                resume_after,
-                timeout,
-            );
+            let sent = attempt::send(&self.gateway, &self.ctx, &run, resume_after, timeout);
             match sent.await {
                 Ok(response) => return Ok((run, response)),
                 Err(failure) => self.handle_failure(&mut run, failure)?,
@@ -205,6 +199,7 @@
         let began = self.gateway.clock.monotonic();
         loop {
             let now = self.gateway.clock.monotonic();
+            let avoided = self.gateway.fleet_load().avoided_targets(&self.ctx.service);
             let req = PlacementRequest {
                 customer: self.ctx.customer.as_ref(),
                 service: &self.ctx.service,
@@ -213,6 +208,7 @@
                 time_left: self.ctx.time_left(now),
                 domain: &self.gateway.domain,
                 tried: &self.tried,
+                avoided: &avoided,
                 is_first_attempt: !std::mem::replace(&mut self.is_placement_requested, true),
                 waited: now.saturating_sub(began),
                 has_run: self.runs > 0,
--- a/samphiresill-sched/src/fleet/directive/mod.rs
+++ b/samphiresill-sched/src/fleet/directive/mod.rs
@@ -1,11 +1,12 @@
 //! What targets have told routers about the load that they accept.
 //!
-//! Handles the load pattern in which a target is in need and takes fewer requests than its slots
-//! suggest: it names a limit in its responses, which binds all routers together.
+//! Handles the load patterns in which a target takes fewer requests than its slots suggest: it names a
+//! limit in its responses, which binds all routers together, or says that it is about to stop.
 //!
 //! Invariants: a directive holds for one instance of a target, and survives gaps in the directory; of
 //! targets that are not listed, directives are kept for [`UNLISTED_RETENTION`] only.
 
+pub mod leaving;
 pub mod rate_limit;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 use samphiresill_core::routing::TargetEntry;
 use samphiresill_core::units::RequestRate;
 
+use self::leaving::LeavingTargets;
 use self::rate_limit::{Claim, LimitShare, RateLimit};
 
 /// Time for which the directives of a target that is not listed are kept: entries of live targets
@@ -38,6 +40,7 @@
 pub struct Directives {
     targets: BTreeMap<TargetName, TargetDirectives>,
     limit_share: LimitShare,
+    leaving: LeavingTargets,
 }
 
 impl Directives {
@@ -130,8 +133,20 @@
         }
     }
 
+    /// Returns the targets that leave.
+    #[must_use]
+    pub fn leaving(&self) -> &LeavingTargets {
+        &self.leaving
+    }
+
+    /// Records that an instance of a target leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self, target: &TargetName, started_ms: u64, now: Duration) -> bool {
+        self.leaving.record(target, started_ms, now)
+    }
+
     /// Drops directives that no longer matter. `is_listed` tells which targets are listed.
     pub fn sweep(&mut self, is_listed: impl Fn(&TargetName) -> bool, now: Duration) {
+        self.leaving.sweep(&is_listed, now);
         self.targets.retain(|name, directives| {
             if is_listed(name) {
                 directives.listed_at = now;
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -106,4 +106,11 @@
         /// Time since the request was sent whose response told that, in milliseconds.
         sent_ms_ago: u32,
     },
+    /// A target has said that it is about to stop.
+    Leaving {
+        /// The target.
+        target: TargetName,
+        /// When the instance of the target started, in Unix milliseconds.
+        started_ms: u64,
+    },
 }
--- a/samphiresill-sched/src/fleet/load/directives.rs
+++ b/samphiresill-sched/src/fleet/load/directives.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use samphiresill_core::name::TargetName;
+use samphiresill_core::name::{ServiceName, TargetName};
 use samphiresill_core::units::RequestRate;
 
 use super::{FleetLoad, Placement};
@@ -55,6 +55,35 @@
         }
     }
 
+    /// Returns when the listed instance of a target started, in Unix milliseconds; `None` when it is
+    /// not listed.
+    #[must_use]
+    pub fn started_ms(&self, target: &TargetName) -> Option<u64> {
+        self.targets.get(target).map(|t| t.entry.started_ms)
+    }
+
+    /// Records that an instance of a target has said that it leaves, and tells the other routers.
+    /// Returns whether that is new.
+    pub fn record_leaving(&mut self, target: &TargetName, started_ms: u64, now: Duration) -> bool {
+        let is_new = self.directives.record_leaving(target, started_ms, now);
+        // Later responses of the same target repeat the event, in case it was lost.
+        let target = target.clone();
+        self.outbox.push(Event::Leaving { target, started_ms });
+        is_new
+    }
+
+    /// Returns the targets of a service that may get no requests of this router, for schedulers that
+    /// do not know it.
+    #[must_use]
+    pub fn avoided_targets(&self, service: &ServiceName) -> Vec<TargetName> {
+        let leaving = self.directives.leaving();
+        let entries = leaving
+            .instances()
+            .filter_map(|(name, _)| self.targets.get(name).map(|t| &t.entry));
+        let avoided = entries.filter(|e| e.service == *service && leaving.contains(e));
+        avoided.map(|e| e.name.clone()).collect()
+    }
+
     /// Sets the part of the limits of targets that this router may use.
     pub fn set_limit_share(&mut self, share: LimitShare) {
         self.directives.set_limit_share(share);
@@ -68,7 +97,12 @@
             rate: Some(limit.rate()),
             sent_ms_ago: 0,
         };
-        self.directives.limits().map(event).collect()
+        let leaving = self.directives.leaving().instances();
+        let leaving = leaving.map(|(target, started_ms)| Event::Leaving {
+            target: target.clone(),
+            started_ms,
+        });
+        self.directives.limits().map(event).chain(leaving).collect()
     }
 
     /// Returns the part of a request, 0 to 1, that a new limit of a target has saved. It differs by
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -453,6 +453,9 @@
                 rate,
                 sent_ms_ago,
             } => self.apply_limit(target, *rate, *sent_ms_ago, now),
+            Event::Leaving { target, started_ms } => {
+                self.directives.record_leaving(target, *started_ms, now);
+            }
         }
     }
 
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -339,6 +339,8 @@
             target.entry.service == *req.service
                 && target.entry.state == TargetState::Ready
                 && !req.tried.contains(&target.entry.name)
+                && !req.avoided.contains(&target.entry.name)
+                && !self.directives.leaving().contains(&target.entry)
         };
         let eligible = || self.targets.values().filter(is_eligible);
         let failing = eligible().filter(|t| t.health.is_failing(now)).count();
--- a/samphiresill-sched/src/fleet/request.rs
+++ b/samphiresill-sched/src/fleet/request.rs
@@ -86,6 +86,8 @@
     pub domain: &'a DomainName,
     /// Targets that have already been tried.
     pub tried: &'a [TargetName],
+    /// Targets that may get no requests of the router.
+    pub avoided: &'a [TargetName],
     /// Whether this is the first attempt to place the request: it was neither queued nor sent to a
     /// target before.
     pub is_first_attempt: bool,
--- a/samphiresill-sched/src/fleet/tests/simulation.rs
+++ b/samphiresill-sched/src/fleet/tests/simulation.rs
@@ -129,6 +129,7 @@
             time_left: self.timeout,
             domain,
             tried: &[],
+            avoided: &[],
             is_first_attempt: true,
             waited: Duration::ZERO,
             has_run: false,
