Send a target that turns a request away none for as long as it says

A target that answered 503 with Retry-After got requests of the same gateway on.

Cause: Retry-After of a target was not read; its only effect was that of a failure, an ejection of 1.5 s after several. Class: as for the limits of targets.

The pause binds the gateway that was turned away, for the instance of the target.

--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -62,6 +62,8 @@
     pub rate_limit: Option<RequestRate>,
     /// Whether the target is about to stop and takes no further requests.
     pub is_leaving: bool,
+    /// How long the target, which has turned the request away, wants no requests of this router.
+    pub pause: Option<Duration>,
 }
 
 /// `DecodeError` is the reason why a document could not be decoded, and its location.
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -16,6 +16,7 @@
 use crate::connection::{self, Connection};
 use crate::dialect::{Directives, ForwardMetadata};
 use crate::gateway::Gateway;
+use crate::log_budget::Kind;
 
 /// Timeout for establishing a connection to a target: several round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -237,10 +238,18 @@
     let started_ms = run.started_ms.filter(|_| told.is_leaving);
     let is_new =
         started_ms.is_some_and(|started_ms| fleet_load.record_leaving(target, started_ms, now));
+    if let (Some(started_ms), Some(pause)) = (run.started_ms, told.pause) {
+        fleet_load.record_pause(target, started_ms, pause, now);
+    }
     drop(fleet_load);
     if is_new {
         log::info!(target:%, started_ms; "target leaves");
     }
+    if let Some(pause) = told.pause
+        && gateway.log_budget.allows(Kind::Failed)
+    {
+        log::info!(target:%, pause_ms = pause.as_millis() as u64; "target turns requests away");
+    }
 }
 
 /// Checks that a response may be delivered to the caller: the target executed this request, signed
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -199,7 +199,10 @@
         let began = self.gateway.clock.monotonic();
         loop {
             let now = self.gateway.clock.monotonic();
-            let avoided = self.gateway.fleet_load().avoided_targets(&self.ctx.service);
+            let avoided = self
+                .gateway
+                .fleet_load()
+                .avoided_targets(&self.ctx.service, now);
             let req = PlacementRequest {
                 customer: self.ctx.customer.as_ref(),
                 service: &self.ctx.service,
--- a/samphiresill-sched/src/fleet/directive/mod.rs
+++ b/samphiresill-sched/src/fleet/directive/mod.rs
@@ -1,12 +1,14 @@
 //! What targets have told routers about the load that they accept.
 //!
 //! Handles the load patterns in which a target takes fewer requests than its slots suggest: it names a
-//! limit in its responses, which binds all routers together, or says that it is about to stop.
+//! limit in its responses, which binds all routers together, says that it is about to stop, or turns a
+//! router away for a while.
 //!
 //! Invariants: a directive holds for one instance of a target, and survives gaps in the directory; of
 //! targets that are not listed, directives are kept for [`UNLISTED_RETENTION`] only.
 
 pub mod leaving;
+pub mod pause;
 pub mod rate_limit;
 
 use std::collections::BTreeMap;
@@ -17,6 +19,7 @@
 use samphiresill_core::units::RequestRate;
 
 use self::leaving::LeavingTargets;
+use self::pause::Pauses;
 use self::rate_limit::{Claim, LimitShare, RateLimit};
 
 /// Time for which the directives of a target that is not listed are kept: entries of live targets
@@ -41,6 +44,7 @@
     targets: BTreeMap<TargetName, TargetDirectives>,
     limit_share: LimitShare,
     leaving: LeavingTargets,
+    pauses: Pauses,
 }
 
 impl Directives {
@@ -144,9 +148,27 @@
         self.leaving.record(target, started_ms, now)
     }
 
+    /// Returns the pauses of this router's requests to targets.
+    #[must_use]
+    pub fn pauses(&self) -> &Pauses {
+        &self.pauses
+    }
+
+    /// Records that an instance of a target wants no requests of this router for `time`.
+    pub fn record_pause(
+        &mut self,
+        target: &TargetName,
+        started_ms: u64,
+        time: Duration,
+        now: Duration,
+    ) {
+        self.pauses.record(target, started_ms, time, now);
+    }
+
     /// Drops directives that no longer matter. `is_listed` tells which targets are listed.
     pub fn sweep(&mut self, is_listed: impl Fn(&TargetName) -> bool, now: Duration) {
         self.leaving.sweep(&is_listed, now);
+        self.pauses.sweep(now);
         self.targets.retain(|name, directives| {
             if is_listed(name) {
                 directives.listed_at = now;
--- a/samphiresill-sched/src/fleet/load/directives.rs
+++ b/samphiresill-sched/src/fleet/load/directives.rs
@@ -72,15 +72,31 @@
         is_new
     }
 
-    /// Returns the targets of a service that may get no requests of this router, for schedulers that
-    /// do not know it.
+    /// Records that an instance of a target has turned a request of this router away, and wants no more
+    /// for `time`.
+    pub fn record_pause(
+        &mut self,
+        target: &TargetName,
+        started_ms: u64,
+        time: Duration,
+        now: Duration,
+    ) {
+        self.directives.record_pause(target, started_ms, time, now);
+    }
+
+    /// Returns the targets of a service that may get no requests of this router: those that leave,
+    /// and those that have turned it away.
     #[must_use]
-    pub fn avoided_targets(&self, service: &ServiceName) -> Vec<TargetName> {
+    pub fn avoided_targets(&self, service: &ServiceName, now: Duration) -> Vec<TargetName> {
         let leaving = self.directives.leaving();
-        let entries = leaving
-            .instances()
-            .filter_map(|(name, _)| self.targets.get(name).map(|t| &t.entry));
-        let avoided = entries.filter(|e| e.service == *service && leaving.contains(e));
+        let pauses = self.directives.pauses();
+        let names = leaving.instances().map(|(name, _)| name);
+        let entries = names
+            .chain(pauses.targets())
+            .filter_map(|name| self.targets.get(name).map(|t| &t.entry));
+        let avoided = entries.filter(|e| {
+            e.service == *service && (leaving.contains(e) || pauses.remaining(e, now).is_some())
+        });
         avoided.map(|e| e.name.clone()).collect()
     }
 
