Resume streams only with streams of events

Where a stream had begun and broke off, and the next target answered with a success that was a text, the text was delivered as an event in the middle of the stream, which ended as complete.

Cause: the media type was checked for the first response only. Class: a check on the first of several responses that form one. The case resumed_by_a_document failed before. Errors, refusals, heads cut off and bytes that are no response did not get through before either, as the new cases show; nor did heads that a target cuts off as its first response, for orders, reads and streams (502, or a retry).

--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -379,6 +379,9 @@
         if !status.is_success() {
             return Err(format!("not resumed: status {status}"));
         }
+        if !is_event_stream(&response.head.headers) {
+            return Err("not resumed: the response is no stream of events".to_owned());
+        }
         self.framing = Framing::of(&response.head);
         self.boundary = EventBoundary::default();
         self.splitter = EventSplitter::default();
