Take a refusal without an id on a kept connection for a copy of an earlier one

A faulty target that wrote an earlier refusal once more made the gateway send the next request on that connection elsewhere while the target ran it, or tell its caller that it had not run.

Cause: a refusal may omit the request's id, and was then believed on any connection. It is now believed only as the response to the first request of a connection, which nothing can precede; on a kept one the request may have run. Refusals that name another request were recognised before. Class: a response matched to its request by its place alone.

--- a/samphiresill-gateway/src/connection/mod.rs
+++ b/samphiresill-gateway/src/connection/mod.rs
@@ -67,6 +67,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Number of requests that were sent.
+    requests: u64,
 }
 
 impl Drop for Connection {
@@ -95,6 +97,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            requests: 0,
         })
     }
 
@@ -110,11 +113,19 @@
         self.sender.is_closed()
     }
 
+    /// Whether the first request was the latest one, so that no earlier response can be repeated in
+    /// place of its response.
+    #[must_use]
+    pub fn is_first_request(&self) -> bool {
+        self.requests <= 1
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
     /// `Unsent` or `Broken`.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        self.requests += 1;
         let sent = self.sender.try_send_request(req).await;
         sent.map_err(|mut e| {
             if e.take_message().is_some() {
--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -41,12 +41,24 @@
     pub resume_after: Option<&'a str>,
 }
 
+/// `Echo` is the request that a response names.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Echo {
+    /// The request that was sent.
+    Own,
+    /// Another request.
+    Foreign,
+    /// No request.
+    #[default]
+    Absent,
+}
+
 /// `ResponseHead` is the information in the head of a target's response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// Whether the response contains the id of the request that was sent.
-    pub echoes_request: bool,
-    /// Whether the target states that it did not execute the request.
+    /// Which request the response belongs to.
+    pub echo: Echo,
+    /// Whether the target states that it did not execute that request.
     pub is_unexecuted: bool,
     /// Whether the response carries the target's signature.
     pub is_signed: bool,
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::request_context::RequestContext;
 use crate::connection::{self, Connection};
-use crate::dialect::{Directives, ForwardMetadata};
+use crate::dialect::{Directives, Echo, ForwardMetadata};
 use crate::gateway::Gateway;
 use crate::log_budget::Kind;
 
@@ -270,8 +270,21 @@
     let info = gateway
         .dialect
         .response_head(&ctx.request, head.status, &head.headers);
-    let is_from_target = info.echoes_request || info.is_unexecuted;
-    if is_from_target && head.status != StatusCode::MISDIRECTED_REQUEST {
+    // A refusal may omit the request's id. On a kept connection it may then be the copy of an earlier
+    // one, and the target may run this request.
+    let is_own = match info.echo {
+        Echo::Own => true,
+        Echo::Foreign => false,
+        Echo::Absent => info.is_unexecuted && connection.is_first_request(),
+    };
+    // The connection is dropped, since nothing on it can be trusted.
+    if !is_own {
+        return Err(Failure::new(
+            FailurePoint::Sending,
+            "an answer to another request",
+        ));
+    }
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
         observe_directives(gateway, run, info.directives, sent_at);
     }
     if info.is_unexecuted {
@@ -290,13 +303,6 @@
         let cause = format!("the target did not run it, status {}", head.status);
         return Err(Failure::new(point, cause));
     }
-    // A response to another request: the connection is dropped, since nothing on it can be trusted.
-    if !info.echoes_request {
-        return Err(Failure::new(
-            FailurePoint::Sending,
-            "an answer to another request",
-        ));
-    }
     if head.status.is_success() && !info.is_signed {
         return Err(Failure::new(
             FailurePoint::DuringAnswer,
