Keep to the pause of a refusal that lacks the request's id

A 503 with Retry-After on a kept connection that names no request is not believed as to which request it refuses; its Retry-After was dropped with it. What a target says of its load holds whatever request the response belongs to, unless it names another one or another target answers. The test failed before.

--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -270,6 +270,12 @@
     let info = gateway
         .dialect
         .response_head(&ctx.request, head.status, &head.headers);
+    // Whatever request it refuses, the target means what it says of its load.
+    let is_from_target =
+        info.echo != Echo::Foreign && head.status != StatusCode::MISDIRECTED_REQUEST;
+    if is_from_target {
+        observe_directives(gateway, run, info.directives, sent_at);
+    }
     // A refusal may omit the request's id. On a kept connection it may then be the copy of an earlier
     // one, and the target may run this request.
     let is_own = match info.echo {
@@ -284,9 +290,6 @@
             "an answer to another request",
         ));
     }
-    if head.status != StatusCode::MISDIRECTED_REQUEST {
-        observe_directives(gateway, run, info.directives, sent_at);
-    }
     if info.is_unexecuted {
         // The body is read to its end so that the connection can be reused.
         let drained = body.collect().await;
