Bound the targets to avoid in a placement request; name the limit where both room and tokens lack

A placement request that named hundreds of leaving targets would not fit into a datagram: 40 at most, pauses first, which no other router knows; schedulers know leaving targets themselves. Whether a refusal said no room or target limit depended on the order of the engines, and with it whether the request waited for a token.

--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -17,6 +17,9 @@
 /// Maximum size of a datagram; larger ones would be fragmented on most links.
 pub const MAX_BYTES: usize = 1_400;
 
+/// Maximum number of targets to avoid in a placement request, so that it fits into a datagram.
+const MAX_AVOIDED: usize = 40;
+
 /// `Frame` is one datagram.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Frame {
@@ -101,7 +104,7 @@
             waited: req.waited,
             has_run: req.has_run,
             is_first_attempt: req.is_first_attempt,
-            avoided: req.avoided.to_vec(),
+            avoided: req.avoided.iter().take(MAX_AVOIDED).cloned().collect(),
         }
     }
 
--- a/samphiresill-sched/src/fleet/load/directives.rs
+++ b/samphiresill-sched/src/fleet/load/directives.rs
@@ -90,9 +90,11 @@
     pub fn avoided_targets(&self, service: &ServiceName, now: Duration) -> Vec<TargetName> {
         let leaving = self.directives.leaving();
         let pauses = self.directives.pauses();
-        let names = leaving.instances().map(|(name, _)| name);
-        let entries = names
-            .chain(pauses.targets())
+        let leaving_names = leaving.instances().map(|(name, _)| name);
+        // Pauses first: no other router knows them.
+        let entries = pauses
+            .targets()
+            .chain(leaving_names)
             .filter_map(|name| self.targets.get(name).map(|t| &t.entry));
         let avoided = entries.filter(|e| {
             e.service == *service && (leaving.contains(e) || pauses.remaining(e, now).is_some())
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -59,6 +59,13 @@
 }
 
 impl Unavailable {
+    /// Records that an engine has no room for the request; a token of a limit is due sooner.
+    fn full(&mut self) {
+        if self.reason == Reason::NoTarget {
+            self.reason = Reason::NoRoom;
+        }
+    }
+
     /// Records that the limit of a target allows a request only after `wait`.
     fn limited(&mut self, wait: Duration) {
         let is_first = self.reason != Reason::TargetLimit;
@@ -242,7 +249,7 @@
             };
             total_prefill_rate += load.prefill_rate();
             if !load.has_capacity(generation) {
-                unavailable.reason = Reason::NoRoom;
+                unavailable.full();
                 continue;
             }
             let wait = self.directives.limit_wait(&target.entry.name, claim, now);
