--- a/samphiresill-gateway/src/tests/frames.rs
+++ b/samphiresill-gateway/src/tests/frames.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use samphiresill_core::name::{DomainName, ServiceName, TargetName};
 use samphiresill_sched::fleet::event::{Event, RunResult};
 use samphiresill_sched::fleet::quarantine::{MAX_ENTRIES, Notice};
-use samphiresill_sched::fleet::request::RunId;
+use samphiresill_sched::fleet::request::{PlacementRequest, RunId};
 
-use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES};
+use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES, PlacementRequestFrame};
 
 fn frame() -> Frame {
     let event = Event::Ended {
@@ -62,3 +63,32 @@
         }
     }
 }
+
+/// A placement request fits into a datagram however many targets its gateway avoids.
+#[test]
+fn a_placement_request_with_many_avoided_targets_fits_into_a_datagram() {
+    let avoided: Vec<TargetName> = (0..1_000)
+        .map(|n| TargetName::from(format!("i-{n:010}")))
+        .collect();
+    let (service, domain) = (ServiceName::from("model"), DomainName::from("d1"));
+    let req = PlacementRequest {
+        customer: None,
+        service: &service,
+        generation: None,
+        latency_objective: Duration::from_secs(1),
+        time_left: Duration::from_secs(10),
+        domain: &domain,
+        tried: &[],
+        avoided: &avoided,
+        is_first_attempt: true,
+        waited: Duration::ZERO,
+        has_run: false,
+    };
+    let run = RunId {
+        origin: 1,
+        number: 1,
+    };
+    let frame = Frame::PlacementRequest(PlacementRequestFrame::new(run, &req));
+    let bytes = frame.encode().expect("an encoded frame");
+    assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
+}
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -9,6 +9,7 @@
 mod directives;
 pub mod place;
 mod target;
+mod unavailable;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -7,6 +7,7 @@
 use samphiresill_core::routing::{TargetEntry, TargetState};
 
 use super::target::{Target, TargetLoad};
+use super::unavailable::Unavailable;
 use super::{FleetLoad, Placement, started_event};
 use crate::fleet::admission::{self, Candidate, Reason, Refusal};
 use crate::fleet::directive::rate_limit::Claim;
@@ -27,8 +28,6 @@
 const CROSS_DOMAIN_COST_MS: f64 = 4.0;
 /// Targets of a service for each one that may be ejected for a high failure rate.
 const TARGETS_PER_EJECTION: usize = 3;
-/// `Retry-After` before jitter when no target is available.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// `Choice` is the target with the lowest cost of a request.
 struct Choice {
@@ -42,48 +41,6 @@
     total_prefill_rate: f64,
 }
 
-/// `Unavailable` is why no target can get a request.
-struct Unavailable {
-    reason: Reason,
-    /// Time until a target takes a request, where its limit tells.
-    available_in: Duration,
-}
-
-impl From<Reason> for Unavailable {
-    fn from(reason: Reason) -> Self {
-        Self {
-            reason,
-            available_in: Duration::ZERO,
-        }
-    }
-}
-
-impl Unavailable {
-    /// Records that an engine has no room for the request; a token of a limit is due sooner.
-    fn full(&mut self) {
-        if self.reason == Reason::NoTarget {
-            self.reason = Reason::NoRoom;
-        }
-    }
-
-    /// Records that the limit of a target allows a request only after `wait`.
-    fn limited(&mut self, wait: Duration) {
-        let is_first = self.reason != Reason::TargetLimit;
-        self.available_in = if is_first {
-            wait
-        } else {
-            wait.min(self.available_in)
-        };
-        self.reason = Reason::TargetLimit;
-    }
-
-    fn refusal(&self, req: &PlacementRequest<'_>, jitter: f64) -> Refusal {
-        let delay = self.available_in.max(NO_TARGET_RETRY_AFTER);
-        let retry_after = admission::retry_after(delay, req.time_left, jitter);
-        Refusal::new(self.reason, retry_after)
-    }
-}
-
 impl FleetLoad {
     /// Selects a target for a request and counts the run there, or refuses the request. `jitter` is
     /// uniform over 0 to 1.
