--- /dev/null
+++ b/review/kit/main.rs
@@ -0,0 +1,38 @@
+//! Drivers of the review's scripts. `kit CASE DIR` plays a case and writes DIR/record.txt. It exits with
+//! 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the
+//! environment it does the same without the disruption.
+
+mod client;
+mod endless_refusal;
+mod gateway;
+mod http;
+mod json;
+mod record;
+mod server;
+mod store;
+
+use std::path::PathBuf;
+use std::process::exit;
+
+/// Ends the run when the case cannot be played.
+pub fn cannot_run(reason: &str) -> ! {
+    eprintln!("the case cannot run: {reason}");
+    gateway::kill_all();
+    exit(2);
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let (Some(case), Some(dir)) = (args.next(), args.next()) else {
+        cannot_run("usage: kit CASE DIR");
+    };
+    let dir = PathBuf::from(dir);
+    // A failure of the driver is no result, and leaves no process behind.
+    std::panic::set_hook(Box::new(|panic| cannot_run(&panic.to_string())));
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let is_broken = match &*case {
+        "endless-refusal" => endless_refusal::play(&dir, has_trouble),
+        _ => cannot_run(&format!("no case {case}")),
+    };
+    exit(i32::from(is_broken));
+}
--- /dev/null
+++ b/review/kit/store.rs
@@ -0,0 +1,173 @@
+//! Stand-in for the platform's store: tables of versioned rows with long polling.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{Connection, Message};
+use crate::json;
+
+/// Latency of a call.
+const CALL_LATENCY: Duration = Duration::from_millis(4);
+
+struct Row {
+    /// Value in base64; `None` after its removal.
+    value: Option<String>,
+    version: u64,
+}
+
+#[derive(Default)]
+struct Tables {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+}
+
+pub struct Store {
+    tables: Mutex<Tables>,
+    changed: Condvar,
+    started: Instant,
+}
+
+impl Store {
+    pub fn start() -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let store = Arc::new(Self {
+            tables: Mutex::default(),
+            changed: Condvar::new(),
+            started: Instant::now(),
+        });
+        let server = Arc::clone(&store);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = Arc::clone(&server);
+                thread::spawn(move || store.serve(Connection::new(stream)));
+            }
+        });
+        (store, address)
+    }
+
+    /// Writes a row, or removes it. The write is acknowledged when this returns.
+    pub fn write(&self, table: &str, key: &str, value: Option<&str>) {
+        let mut tables = self.tables.lock().expect("no panic");
+        tables.version += 1;
+        let row = Row { value: value.map(|v| base64(v.as_bytes())), version: tables.version };
+        tables.rows.insert((table.to_owned(), key.to_owned()), row);
+        self.changed.notify_all();
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.read() {
+            thread::sleep(CALL_LATENCY);
+            let (status, body) = self.respond(&request);
+            let head = format!(
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            if connection.write((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn respond(&self, request: &Message) -> (&'static str, String) {
+        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+        let field = |name: &str| {
+            let mut fields = query.split('&').filter_map(|f| f.split_once('='));
+            fields.find(|(n, _)| *n == name).map_or("", |(_, v)| v)
+        };
+        let table = field("table");
+        match path {
+            "/samphiresill/rows-get" => ("200 OK", self.all(table)),
+            "/samphiresill/rows-feed" => {
+                let wait = Duration::from_millis(field("wait_ms").parse().unwrap_or(0));
+                ("200 OK", self.changes(table, field("after").parse().unwrap_or(0), wait))
+            }
+            "/samphiresill/rows-tx" => self.transact(&String::from_utf8_lossy(&request.body)),
+            _ => ("404 Not Found", "{}".to_owned()),
+        }
+    }
+
+    fn now_ms(&self) -> u128 {
+        self.started.elapsed().as_millis()
+    }
+
+    fn all(&self, table: &str) -> String {
+        let tables = self.tables.lock().expect("no panic");
+        let rows = tables.rows.iter().filter(|((t, _), r)| t == table && r.value.is_some());
+        let rows: Vec<String> = rows.map(|((_, key), r)| row(table, key, r)).collect();
+        let (version, now_ms) = (tables.version, self.now_ms());
+        let rows = rows.join(",");
+        format!("{{\"rows\":[{rows}],\"truncated\":false,\"ver\":{version},\"now_ms\":{now_ms}}}")
+    }
+
+    fn changes(&self, table: &str, after: u64, wait: Duration) -> String {
+        let deadline = Instant::now() + wait;
+        let mut tables = self.tables.lock().expect("no panic");
+        loop {
+            let newer = tables.rows.iter().filter(|((t, _), r)| t == table && r.version > after);
+            let mut rows: Vec<(u64, String)> =
+                newer.map(|((_, key), r)| (r.version, row(table, key, r))).collect();
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !rows.is_empty() || left.is_zero() {
+                rows.sort();
+                let rows: Vec<String> = rows.into_iter().map(|(_, row)| row).collect();
+                let (rows, version, now_ms) = (rows.join(","), tables.version, self.now_ms());
+                return format!("{{\"rows\":[{rows}],\"ver\":{version},\"now_ms\":{now_ms}}}");
+            }
+            tables = self.changed.wait_timeout(tables, left).expect("no panic").0;
+        }
+    }
+
+    fn transact(&self, body: &str) -> (&'static str, String) {
+        let Some(document) = json::parse(body) else {
+            return ("400 Bad Request", "{}".to_owned());
+        };
+        let name = |v: &json::Value| (v.text("table").to_owned(), v.text("key").to_owned());
+        let mut tables = self.tables.lock().expect("no panic");
+        for expected in document.list("expected_revision") {
+            let row = tables.rows.get(&name(expected)).filter(|r| r.value.is_some());
+            if row.map_or(0, |r| r.version) as f64 != expected.number("ver") {
+                return ("412 Precondition Failed", "{\"rows\":[]}".to_owned());
+            }
+        }
+        tables.version += 1;
+        let version = tables.version;
+        for (field, is_put) in [("put", true), ("remove", false)] {
+            for entry in document.list(field) {
+                let value = is_put.then(|| entry.text("value").to_owned());
+                tables.rows.insert(name(entry), Row { value, version });
+            }
+        }
+        self.changed.notify_all();
+        ("200 OK", format!("{{\"ver\":{version},\"now_ms\":{}}}", self.now_ms()))
+    }
+}
+
+fn row(table: &str, key: &str, row: &Row) -> String {
+    let version = row.version;
+    match &row.value {
+        Some(value) => format!(
+            "{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"value\":\"{value}\",\"ver\":{version}}}"
+        ),
+        None => format!(
+            "{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"deleted\":true,\"ver\":{version}}}"
+        ),
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let group = chunk.iter().fold(0_u32, |group, b| group << 8 | u32::from(*b));
+        let group = group << (8 * (3 - chunk.len()));
+        for index in 0..4 {
+            let digit = DIGITS[(group >> (18 - 6 * index) & 63) as usize];
+            text.push(if index <= chunk.len() { digit as char } else { '=' });
+        }
+    }
+    text
+}
