--- a/review/kit/gateway.rs
+++ b/review/kit/gateway.rs
@@ -181,6 +181,14 @@
         }
     }
 
+    /// Kills the process, which the platform then starts again.
+    pub fn kill(&self) {
+        self.record.line(&format!("{}: SIGKILL", self.name));
+        if let Some(child) = &mut self.state.lock().expect("no panic").child {
+            let _ = child.kill();
+        }
+    }
+
     /// Number of times that the process ended by itself or for its memory.
     pub fn ends(&self) -> u32 {
         self.state.lock().expect("no panic").ends
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod http;
 mod json;
+mod long_heads;
 mod record;
 mod server;
 mod store;
@@ -32,6 +33,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let is_broken = match &*case {
         "endless-refusal" => endless_refusal::play(&dir, has_trouble),
+        "long-heads" => long_heads::play(&dir, has_trouble),
         _ => cannot_run(&format!("no case {case}")),
     };
     exit(i32::from(is_broken));
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -22,6 +22,8 @@
 struct Tables {
     rows: BTreeMap<(String, String), Row>,
     version: u64,
+    /// Whether the store resets its channels in place of answers.
+    is_down: bool,
 }
 
 pub struct Store {
@@ -58,10 +60,26 @@
         self.changed.notify_all();
     }
 
+    /// Takes the store down, or up again.
+    pub fn set_down(&self, is_down: bool) {
+        self.tables.lock().expect("no panic").is_down = is_down;
+        self.changed.notify_all();
+    }
+
+    fn is_down(&self) -> bool {
+        self.tables.lock().expect("no panic").is_down
+    }
+
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read() {
             thread::sleep(CALL_LATENCY);
+            if self.is_down() {
+                return;
+            }
             let (status, body) = self.respond(&request);
+            if self.is_down() {
+                return;
+            }
             let head = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -111,7 +129,7 @@
             let mut rows: Vec<(u64, String)> =
                 newer.map(|((_, key), r)| (r.version, row(table, key, r))).collect();
             let left = deadline.saturating_duration_since(Instant::now());
-            if !rows.is_empty() || left.is_zero() {
+            if !rows.is_empty() || left.is_zero() || tables.is_down {
                 rows.sort();
                 let rows: Vec<String> = rows.into_iter().map(|(_, row)| row).collect();
                 let (rows, version, now_ms) = (rows.join(","), tables.version, self.now_ms());
