--- a/review/kit/gateway.rs
+++ b/review/kit/gateway.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,6 +14,8 @@
 
 /// Command of the deploy file, without its arguments.
 const PROGRAM: &str = "target/release/samphiresill-router";
+/// `grace_s` of the site sheets.
+pub const GRACE_S: u32 = 8;
 /// Time after which the platform starts a process again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which the platform checks the memory of a process.
@@ -71,6 +73,31 @@
     }
 }
 
+/// What all machines of a case share.
+#[derive(Clone)]
+pub struct Fleet {
+    pub seeds: Vec<SocketAddr>,
+    pub store: SocketAddr,
+    pub memory_mb: u64,
+    /// Temporary folder for settings and logs.
+    pub dir: PathBuf,
+}
+
+/// Settings of a process, with the fields of `deploy/settings.jsonc`.
+fn settings(name: &str, addresses: Addresses, fleet: &Fleet, grace_s: u32) -> String {
+    let seeds: Vec<String> = fleet.seeds.iter().map(|s| format!("\"{s}\"")).collect();
+    let Addresses { callers, readiness, peers, metrics } = addresses;
+    format!(
+        "{{\"vm\": \"{name}\", \"domain\": \"tanger-a\",
+          \"listen\": {{\"callers\": \"{callers}\", \"readiness\": \"{readiness}\",
+            \"peers\": \"{peers}\", \"metrics\": \"{metrics}\"}},
+          \"seeds\": [{}], \"store\": \"{}\",
+          \"limits\": {{\"memory_mb\": {}, \"descriptors\": 4100, \"cores\": 0.25}},
+          \"bounds\": {{\"stop_grace_s\": {grace_s}, \"retry_ratio\": 0.2, \"retry_slack\": 58}}}}",
+        seeds.join(", "), fleet.store, fleet.memory_mb
+    )
+}
+
 /// A machine with its one process, which the platform starts again whenever it ends.
 pub struct Machine {
     pub name: String,
@@ -78,6 +105,7 @@
     memory_mb: u64,
     settings: PathBuf,
     log: PathBuf,
+    fleet: Fleet,
     record: Arc<Record>,
     state: Mutex<State>,
 }
@@ -95,31 +123,19 @@
     pub fn start(
         name: &str,
         addresses: Addresses,
-        seeds: &[SocketAddr],
-        store: SocketAddr,
-        memory_mb: u64,
-        dir: &Path,
+        fleet: &Fleet,
+        grace_s: u32,
         record: &Arc<Record>,
     ) -> Arc<Self> {
-        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
-        let Addresses { callers, readiness, peers, metrics } = addresses;
-        let settings = format!(
-            "{{\"vm\": \"{name}\", \"domain\": \"tanger-a\",
-              \"listen\": {{\"callers\": \"{callers}\", \"readiness\": \"{readiness}\",
-                \"peers\": \"{peers}\", \"metrics\": \"{metrics}\"}},
-              \"seeds\": [{}], \"store\": \"{store}\",
-              \"limits\": {{\"memory_mb\": {memory_mb}, \"descriptors\": 4100, \"cores\": 0.25}},
-              \"bounds\": {{\"stop_grace_s\": 8, \"retry_ratio\": 0.2, \"retry_slack\": 58}}}}",
-            seeds.join(", ")
-        );
-        let path = dir.join(format!("{name}.json"));
-        fs::write(&path, settings).expect("the settings can be written");
+        let path = fleet.dir.join(format!("{name}.json"));
+        fs::write(&path, settings(name, addresses, fleet, grace_s)).expect("the settings can be written");
         let machine = Arc::new(Self {
             name: name.to_owned(),
             addresses,
-            memory_mb,
+            memory_mb: fleet.memory_mb,
             settings: path,
-            log: dir.join(format!("{name}.log")),
+            log: fleet.dir.join(format!("{name}.log")),
+            fleet: fleet.clone(),
             record: Arc::clone(record),
             state: Mutex::default(),
         });
@@ -173,7 +189,7 @@
                 forget(child.id());
                 state.ends += 1;
                 if !is_over {
-                    self.record.line(&format!("{}: the process ended by itself", self.name));
+                    self.record.line(&format!("{}: the process has ended", self.name));
                 }
                 thread::sleep(RESTART_DELAY);
                 state.child = Some(self.spawn());
@@ -181,6 +197,35 @@
         }
     }
 
+    /// Changes the grace in the settings file, and tells the process by SIGHUP.
+    pub fn change_grace(&self, grace_s: u32) {
+        let settings = settings(&self.name, self.addresses, &self.fleet, grace_s);
+        fs::write(&self.settings, settings).expect("the settings can be written");
+        self.record.line(&format!("{}: settings changed, grace {grace_s} s; SIGHUP", self.name));
+        self.signal("HUP");
+    }
+
+    /// Stops the process as the platform does: SIGTERM, and SIGKILL after the grace. Returns when the
+    /// process has ended.
+    pub fn stop(&self, grace_s: u32) {
+        let began = Instant::now();
+        let ends = self.ends();
+        self.record.line(&format!("{}: SIGTERM", self.name));
+        self.signal("TERM");
+        while self.ends() == ends {
+            if began.elapsed() > Duration::from_secs(grace_s.into()) {
+                self.kill();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        if let Some(child) = &self.state.lock().expect("no panic").child {
+            signal(name, child.id());
+        }
+    }
+
     /// Kills the process, which the platform then starts again.
     pub fn kill(&self) {
         self.record.line(&format!("{}: SIGKILL", self.name));
@@ -189,7 +234,7 @@
         }
     }
 
-    /// Number of times that the process ended by itself or for its memory.
+    /// Number of times that the process has ended.
     pub fn ends(&self) -> u32 {
         self.state.lock().expect("no panic").ends
     }
--- a/review/kit/long_heads.rs
+++ b/review/kit/long_heads.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::{self, Channel, Outcome};
-use crate::gateway::{Addresses, Machine};
+use crate::gateway::{Addresses, Fleet, GRACE_S, Machine};
 use crate::record::Record;
 use crate::server::{self, Server};
 use crate::store::Store;
@@ -96,11 +96,16 @@
         store.write("servers", &server.name, Some(&server.entry(6, "ready", 1)));
     }
     let addresses = [(); 3].map(|()| Addresses::free());
-    let seeds = addresses.map(|a| a.peers);
+    let fleet = Fleet {
+        seeds: addresses.iter().map(|a| a.peers).collect(),
+        store: store_address,
+        memory_mb: MEMORY_MB,
+        dir: scratch.clone(),
+    };
     let machines: Vec<Arc<Machine>> = addresses
         .iter()
         .zip(["front-1", "front-2", "front-3"])
-        .map(|(a, name)| Machine::start(name, *a, &seeds, store_address, MEMORY_MB, &scratch, &record))
+        .map(|(a, name)| Machine::start(name, *a, &fleet, GRACE_S, &record))
         .collect();
     for machine in &machines {
         machine.wait_until_ready();
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod endless_refusal;
 mod gateway;
+mod grace_reload;
 mod http;
 mod json;
 mod long_heads;
@@ -33,6 +34,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let is_broken = match &*case {
         "endless-refusal" => endless_refusal::play(&dir, has_trouble),
+        "grace-reload" => grace_reload::play(&dir, has_trouble),
         "long-heads" => long_heads::play(&dir, has_trouble),
         _ => cannot_run(&format!("no case {case}")),
     };
