--- a/review/kit/long_heads.rs
+++ b/review/kit/long_heads.rs
@@ -1,4 +1,4 @@
-//! Case 2: machines that start while the store is down, and proper requests with long heads on channels
+//! Case 5: machines that start while the store is down, and proper requests with long heads on channels
 //! that were opened meanwhile.
 
 use std::path::Path;
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod endless_refusal;
+mod foreign_entries;
 mod gateway;
 mod grace_reload;
 mod http;
@@ -16,6 +17,8 @@
 use std::path::PathBuf;
 use std::process::exit;
 
+use foreign_entries::Writer;
+
 /// Ends the run when the case cannot be played.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case cannot run: {reason}");
@@ -34,6 +37,8 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let is_broken = match &*case {
         "endless-refusal" => endless_refusal::play(&dir, has_trouble),
+        "foreign-entries" => foreign_entries::play(&dir, has_trouble, Writer::LargeRows),
+        "foreign-part" => foreign_entries::play(&dir, has_trouble, Writer::OtherPart),
         "grace-reload" => grace_reload::play(&dir, has_trouble),
         "long-heads" => long_heads::play(&dir, has_trouble),
         _ => cannot_run(&format!("no case {case}")),
--- a/review/kit/server.rs
+++ b/review/kit/server.rs
@@ -69,7 +69,8 @@
         self.record.line(&format!("{}: runs {id}", self.name));
     }
 
-    /// Its entry in the directory of servers.
+    /// Its entry in the directory of servers. Reports that change nothing but `sequence` leave the entry as
+    /// it is, so they are not played.
     pub fn entry(&self, slots: u32, state: &str, sequence: u32) -> String {
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"tanger-a\",\"version\":\"v1\",\
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -1,4 +1,4 @@
-//! Stand-in for the platform's store: tables of versioned rows with long polling.
+//! Stand-in for the platform's store: tables of versioned rows, in parts, with long polling.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -9,6 +9,9 @@
 use crate::http::{Connection, Message};
 use crate::json;
 
+/// Most rows and bytes of rows in one answer.
+const MAX_ROWS: usize = 500;
+const MAX_BYTES: usize = 1_000_000;
 /// Latency of a call.
 const CALL_LATENCY: Duration = Duration::from_millis(4);
 
@@ -20,7 +23,8 @@
 
 #[derive(Default)]
 struct Tables {
-    rows: BTreeMap<(String, String), Row>,
+    /// By table, part and key.
+    rows: BTreeMap<(String, String, String), Row>,
     version: u64,
     /// Whether the store resets its channels in place of answers.
     is_down: bool,
@@ -53,10 +57,15 @@
 
     /// Writes a row, or removes it. The write is acknowledged when this returns.
     pub fn write(&self, table: &str, key: &str, value: Option<&str>) {
+        self.write_bytes(table, "", key, value.map(str::as_bytes));
+    }
+
+    /// Like `write`, with any bytes, in any part of the table.
+    pub fn write_bytes(&self, table: &str, part: &str, key: &str, value: Option<&[u8]>) {
         let mut tables = self.tables.lock().expect("no panic");
         tables.version += 1;
-        let row = Row { value: value.map(|v| base64(v.as_bytes())), version: tables.version };
-        tables.rows.insert((table.to_owned(), key.to_owned()), row);
+        let row = Row { value: value.map(base64), version: tables.version };
+        tables.rows.insert((table.to_owned(), part.to_owned(), key.to_owned()), row);
         self.changed.notify_all();
     }
 
@@ -98,7 +107,10 @@
         };
         let table = field("table");
         match path {
-            "/samphiresill/rows-get" => ("200 OK", self.all(table)),
+            "/samphiresill/rows-get" => {
+                let limit = field("limit").parse().unwrap_or(MAX_ROWS);
+                ("200 OK", self.range(table, field("part"), &decode(field("from")), limit))
+            }
             "/samphiresill/rows-feed" => {
                 let wait = Duration::from_millis(field("wait_ms").parse().unwrap_or(0));
                 ("200 OK", self.changes(table, field("after").parse().unwrap_or(0), wait))
@@ -112,22 +124,35 @@
         self.started.elapsed().as_millis()
     }
 
-    fn all(&self, table: &str) -> String {
+    /// Rows of one part whose keys are not below `from`, in ascending order of their bytes.
+    fn range(&self, table: &str, part: &str, from: &str, limit: usize) -> String {
         let tables = self.tables.lock().expect("no panic");
-        let rows = tables.rows.iter().filter(|((t, _), r)| t == table && r.value.is_some());
-        let rows: Vec<String> = rows.map(|((_, key), r)| row(table, key, r)).collect();
-        let (version, now_ms) = (tables.version, self.now_ms());
-        let rows = rows.join(",");
-        format!("{{\"rows\":[{rows}],\"truncated\":false,\"ver\":{version},\"now_ms\":{now_ms}}}")
+        let all = tables.rows.iter().filter(|((t, p, key), r)| {
+            t == table && p == part && key.as_str() >= from && r.value.is_some()
+        });
+        let (mut rows, mut bytes, mut is_truncated) = (Vec::new(), 0, false);
+        for (name, found) in all {
+            let row = row(name, found);
+            bytes += row.len();
+            if rows.len() == limit.min(MAX_ROWS) || bytes > MAX_BYTES {
+                is_truncated = true;
+                break;
+            }
+            rows.push(row);
+        }
+        let (rows, version, now_ms) = (rows.join(","), tables.version, self.now_ms());
+        format!(
+            "{{\"rows\":[{rows}],\"truncated\":{is_truncated},\"ver\":{version},\"now_ms\":{now_ms}}}"
+        )
     }
 
     fn changes(&self, table: &str, after: u64, wait: Duration) -> String {
         let deadline = Instant::now() + wait;
         let mut tables = self.tables.lock().expect("no panic");
         loop {
-            let newer = tables.rows.iter().filter(|((t, _), r)| t == table && r.version > after);
+            let newer = tables.rows.iter().filter(|((t, ..), r)| t == table && r.version > after);
             let mut rows: Vec<(u64, String)> =
-                newer.map(|((_, key), r)| (r.version, row(table, key, r))).collect();
+                newer.map(|(name, r)| (r.version, row(name, r))).collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() || tables.is_down {
                 rows.sort();
@@ -143,7 +168,10 @@
         let Some(document) = json::parse(body) else {
             return ("400 Bad Request", "{}".to_owned());
         };
-        let name = |v: &json::Value| (v.text("table").to_owned(), v.text("key").to_owned());
+        let name = |v: &json::Value| {
+            let field = |name| v.text(name).to_owned();
+            (field("table"), field("part"), field("key"))
+        };
         let mut tables = self.tables.lock().expect("no panic");
         for expected in document.list("expected_revision") {
             let row = tables.rows.get(&name(expected)).filter(|r| r.value.is_some());
@@ -164,18 +192,39 @@
     }
 }
 
-fn row(table: &str, key: &str, row: &Row) -> String {
+fn row((table, part, key): &(String, String, String), row: &Row) -> String {
     let version = row.version;
     match &row.value {
         Some(value) => format!(
-            "{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"value\":\"{value}\",\"ver\":{version}}}"
+            "{{\"table\":\"{table}\",\"part\":\"{part}\",\"key\":\"{key}\",\"value\":\"{value}\",\"ver\":{version}}}"
         ),
         None => format!(
-            "{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"deleted\":true,\"ver\":{version}}}"
+            "{{\"table\":\"{table}\",\"part\":\"{part}\",\"key\":\"{key}\",\"deleted\":true,\"ver\":{version}}}"
         ),
     }
 }
 
+/// Decodes the percent signs of a field of a query.
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        let digits = after.get(..2).and_then(|d| std::str::from_utf8(d).ok());
+        let code = digits.and_then(|d| u8::from_str_radix(d, 16).ok());
+        match code.filter(|_| *first == b'%') {
+            Some(code) => {
+                bytes.push(code);
+                rest = &after[2..];
+            }
+            None => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
