--- a/review/kit/grace_reload.rs
+++ b/review/kit/grace_reload.rs
@@ -1,4 +1,4 @@
-//! Case 4: a planned stop after the settings file has given the process a longer grace.
+//! Case 5: a planned stop after the settings file has given the process a longer grace.
 
 use std::path::Path;
 use std::sync::Arc;
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -9,10 +9,10 @@
 mod grace_reload;
 mod http;
 mod json;
-mod long_heads;
 mod record;
 mod server;
 mod store;
+mod watchers;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -40,7 +40,7 @@
         "foreign-entries" => foreign_entries::play(&dir, has_trouble, Writer::LargeRows),
         "foreign-part" => foreign_entries::play(&dir, has_trouble, Writer::OtherPart),
         "grace-reload" => grace_reload::play(&dir, has_trouble),
-        "long-heads" => long_heads::play(&dir, has_trouble),
+        "watchers" => watchers::play(&dir, has_trouble),
         _ => cannot_run(&format!("no case {case}")),
     };
     exit(i32::from(is_broken));
