--- a/review/kit/client.rs
+++ b/review/kit/client.rs
@@ -36,7 +36,11 @@
 
 impl Channel {
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None, answered: 0 }
+        Self {
+            address,
+            connection: None,
+            answered: 0,
+        }
     }
 
     /// Sends a request and waits for its answer, for the time budget at most.
@@ -73,7 +77,10 @@
 /// Returns an id that no other request of this run has.
 pub fn new_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
-    format!("{:016x}", 0x5a00_0000_0000_0000 + NEXT.fetch_add(1, Ordering::Relaxed))
+    format!(
+        "{:016x}",
+        0x5a00_0000_0000_0000 + NEXT.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 /// Status of the answer to a GET request; 0 without an answer.
--- a/review/kit/foreign_entries.rs
+++ b/review/kit/foreign_entries.rs
@@ -57,7 +57,9 @@
     fn write(self, store: &Store, servers: &[Arc<Server>], record: &Record) {
         let put = |part: &str, key: &str, length: usize| {
             store.write_bytes("servers", part, key, Some(&vec![0xff; length]));
-            record.line(&format!("another writer puts {length} bytes: servers, part {part:?}, key {key:?}"));
+            record.line(&format!(
+                "another writer puts {length} bytes: servers, part {part:?}, key {key:?}"
+            ));
         };
         match self {
             Self::LargeRows => {
--- a/review/kit/http.rs
+++ b/review/kit/http.rs
@@ -15,7 +15,10 @@
 impl Message {
     /// Value of a header, or an empty text.
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, v)| v)
     }
 
@@ -41,7 +44,10 @@
     pub fn new(stream: TcpStream) -> Self {
         // Small messages are not delayed; a failure only costs time.
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: Vec::new() }
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
     }
 
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
@@ -94,8 +100,15 @@
                 headers.push((name.trim().to_owned(), value.trim().to_owned()));
             }
         }
-        let mut message = Message { first_line, headers, body: Vec::new() };
-        if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+        let mut message = Message {
+            first_line,
+            headers,
+            body: Vec::new(),
+        };
+        if message
+            .header("transfer-encoding")
+            .eq_ignore_ascii_case("chunked")
+        {
             loop {
                 let size = self.take_line()?;
                 let size = usize::from_str_radix(size.split(';').next().unwrap_or("").trim(), 16);
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -6,7 +6,6 @@
 mod endless_refusal;
 mod foreign_entries;
 mod gateway;
-mod grace_reload;
 mod http;
 mod json;
 mod record;
@@ -18,6 +17,7 @@
 use std::process::exit;
 
 use foreign_entries::Writer;
+use watchers::Away;
 
 /// Ends the run when the case cannot be played.
 pub fn cannot_run(reason: &str) -> ! {
@@ -39,8 +39,8 @@
         "endless-refusal" => endless_refusal::play(&dir, has_trouble),
         "foreign-entries" => foreign_entries::play(&dir, has_trouble, Writer::LargeRows),
         "foreign-part" => foreign_entries::play(&dir, has_trouble, Writer::OtherPart),
-        "grace-reload" => grace_reload::play(&dir, has_trouble),
-        "watchers" => watchers::play(&dir, has_trouble),
+        "watchers" => watchers::play(&dir, has_trouble, Away::Silent),
+        "schedulers" => watchers::play(&dir, has_trouble, Away::Refused),
         _ => cannot_run(&format!("no case {case}")),
     };
     exit(i32::from(is_broken));
--- a/review/kit/record.rs
+++ b/review/kit/record.rs
@@ -14,7 +14,10 @@
 impl Record {
     pub fn create(dir: &Path) -> Self {
         let file = File::create(dir.join("record.txt")).expect("record.txt can be written");
-        Self { started: Instant::now(), file: Mutex::new(file) }
+        Self {
+            started: Instant::now(),
+            file: Mutex::new(file),
+        }
     }
 
     /// Seconds since the start of the run.
--- a/review/kit/server.rs
+++ b/review/kit/server.rs
@@ -49,7 +49,9 @@
         while let Ok(Some(request)) = connection.read() {
             let is_kept = if request.path() == "/samphiresill/kv-list" {
                 let list = "{\"epoch\":1,\"next\":1,\"held\":[]}";
-                connection.write(response("200 OK", "", list).as_bytes()).is_ok()
+                connection
+                    .write(response("200 OK", "", list).as_bytes())
+                    .is_ok()
             } else if request.header("x-samphiresill-expect-instance") != self.name {
                 let head = format!("X-Samphiresill-Instance-Id: {}\r\n", self.name);
                 let response = response("421 Misdirected Request", &head, "");
@@ -84,7 +86,10 @@
 
 /// A response with a length.
 pub fn response(status: &str, headers: &str, body: &str) -> String {
-    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 /// Headers of every answer to a request: its id, and the receipt.
@@ -94,13 +99,15 @@
 
 /// A plain service that runs each request for `work`, and answers with its id.
 pub fn sound_service(work: Duration) -> Arc<Answer> {
-    Arc::new(move |server: &Server, request: &Message, connection: &mut Connection| {
-        let id = request.header("x-samphiresill-attempt-id");
-        server.record_run(id);
-        thread::sleep(work);
-        let answer = response("200 OK", &receipt(id), &format!("answer to {id}"));
-        connection.write(answer.as_bytes()).is_ok()
-    })
+    Arc::new(
+        move |server: &Server, request: &Message, connection: &mut Connection| {
+            let id = request.header("x-samphiresill-attempt-id");
+            server.record_run(id);
+            thread::sleep(work);
+            let answer = response("200 OK", &receipt(id), &format!("answer to {id}"));
+            connection.write(answer.as_bytes()).is_ok()
+        },
+    )
 }
 
 /// Writes a stream of `events` events, `pause` apart, with a last chunk at its end.
--- a/review/kit/watchers.rs
+++ b/review/kit/watchers.rs
@@ -1,4 +1,4 @@
-//! Case 4: the store answers three machines no more, while a key is taken away.
+//! Cases 4 and 5: the store turns some machines away, while a key is taken away.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -14,9 +14,8 @@
 
 /// Memory limit of a machine, as on the site sheet of amren-atelier.
 const MEMORY_MB: u64 = 110;
-const MACHINES: usize = 9;
-/// The machines that the store turns away: a share of 0.33 of all, and the three seeds.
-const TURNED_AWAY: [usize; 3] = [0, 1, 2];
+/// The seeds of a fleet are its first machines.
+const SEEDS: usize = 3;
 /// `for_s` of the site's `platform_down` for some machines.
 const AWAY_TIME: Duration = Duration::from_secs(9);
 /// Time from its beginning to the manifest without the key.
@@ -28,6 +27,32 @@
 /// Keys that stay, and that is taken away.
 const KEYS: [&str; 2] = ["asnmgkcuyj8pjbvk9m68", "k7b2ex5wa5xwyhks8nbk"];
 
+/// How the store turns machines away.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Away {
+    /// It does not answer three of nine machines, the seeds.
+    Silent,
+    /// It refuses six of eighteen machines, the schedulers, with 503.
+    Refused,
+}
+
+impl Away {
+    /// Numbers of machines in all, and of those that are turned away: the first ones, a third of all.
+    fn machines(self) -> (usize, Vec<usize>) {
+        match self {
+            Self::Silent => (9, (0..3).collect()),
+            Self::Refused => (18, (0..6).collect()),
+        }
+    }
+
+    fn begin(self, store: &Store, machines: &[usize]) {
+        match self {
+            Self::Silent => store.turn_away(machines),
+            Self::Refused => store.refuse(machines),
+        }
+    }
+}
+
 fn configuration(version: u32, keys: &[&str]) -> String {
     let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     let routes = r#"[{"name":"r-order","hostname":"atelier.example","prefix":"/order/","route_type":"unsafe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"carnet","max_attempts":1,"anonymous":false}]"#;
@@ -42,7 +67,13 @@
 
 /// Sends orders with the key that is taken away. Counts those that are served although they were sent
 /// later than `config_deadline_ms` after the ack.
-fn send(machine: &Machine, record: &Record, acked: &Mutex<Option<Instant>>, late: &AtomicU32, until: Instant) {
+fn send(
+    machine: &Machine,
+    record: &Record,
+    acked: &Mutex<Option<Instant>>,
+    late: &AtomicU32,
+    until: Instant,
+) {
     let mut channel = Channel::new(machine.addresses.callers);
     while Instant::now() < until {
         let id = client::new_id();
@@ -56,15 +87,21 @@
         let is_served = matches!(&outcome, Outcome::Answered(answer) if answer.status() == 200);
         let is_late = is_served && age.is_some_and(|age| age > CONFIG_DEADLINE);
         late.fetch_add(u32::from(is_late), Ordering::Relaxed);
-        let age = age.map_or("before the ack".to_owned(), |a| format!("{} ms after the ack", a.as_millis()));
+        let age = age.map_or("before the ack".to_owned(), |a| {
+            format!("{} ms after the ack", a.as_millis())
+        });
         let mark = if is_late { ", TOO LATE" } else { "" };
-        record.line(&format!("{}: order {id}, {age}: {outcome:?}{mark}", machine.name));
+        record.line(&format!(
+            "{}: order {id}, {age}: {outcome:?}{mark}",
+            machine.name
+        ));
         thread::sleep(PAUSE);
     }
 }
 
 /// Plays the case. Returns whether the rule was broken.
-pub fn play(dir: &Path, has_trouble: bool) -> bool {
+pub fn play(dir: &Path, has_trouble: bool, away: Away) -> bool {
+    let (count, turned_away) = away.machines();
     let record = Arc::new(Record::create(dir));
     let scratch = std::env::temp_dir().join(format!("samphiresill-review-{}", std::process::id()));
     std::fs::create_dir_all(&scratch).expect("a temporary folder");
@@ -76,8 +113,8 @@
     for server in &desks {
         store.write("servers", &server.name, Some(&server.entry(6, "ready", 1)));
     }
-    let addresses = [(); MACHINES].map(|()| Addresses::free());
-    let seeds: Vec<_> = TURNED_AWAY.iter().map(|m| addresses[*m].peers).collect();
+    let addresses: Vec<Addresses> = (0..count).map(|_| Addresses::free()).collect();
+    let seeds: Vec<_> = addresses[..SEEDS].iter().map(|a| a.peers).collect();
     let start = |number: usize| {
         let fleet = Fleet {
             seeds: seeds.clone(),
@@ -88,7 +125,7 @@
         let name = format!("front-{}", number + 1);
         Machine::start(&name, addresses[number], &fleet, GRACE_S, &record)
     };
-    let machines: Vec<Arc<Machine>> = (0..MACHINES).map(start).collect();
+    let machines: Vec<Arc<Machine>> = (0..count).map(start).collect();
     for machine in &machines {
         machine.wait_until_ready();
     }
@@ -98,21 +135,31 @@
     let until = Instant::now() + PLAY_TIME;
     thread::scope(|scope| {
         // Only at machines that the store answers all the while.
-        for machine in machines.iter().enumerate().filter(|(n, _)| !TURNED_AWAY.contains(n)) {
+        for machine in machines
+            .iter()
+            .enumerate()
+            .filter(|(n, _)| !turned_away.contains(n))
+        {
             let (record, acked, late) = (&record, &acked, &late);
             scope.spawn(move || send(machine.1, record, acked, late, until));
         }
         thread::sleep(Duration::from_secs(2));
         if has_trouble {
-            record.line("the store answers front-1, front-2 and front-3 no more");
-            store.turn_away(&TURNED_AWAY);
+            record.line(&format!(
+                "the store turns away the first {} machines",
+                turned_away.len()
+            ));
+            away.begin(&store, &turned_away);
         }
         thread::sleep(REVOKED_AFTER);
         store.write("op", "config", Some(&configuration(8, &KEYS[..1])));
         *acked.lock().expect("no panic") = Some(Instant::now());
-        record.line(&format!("manifest 8, without the key {}, is acked", KEYS[1]));
+        record.line(&format!(
+            "manifest 8, without the key {}, is acked",
+            KEYS[1]
+        ));
         thread::sleep(AWAY_TIME - REVOKED_AFTER);
-        store.turn_away(&[]);
+        away.begin(&store, &[]);
         record.line("the store answers all machines");
     });
     for machine in &machines {
