Discard the body of a refusal within bounds

A model server had refused one other request, with a body that had no end.

Cause: `validate` collected the body of a refusal or a 421 so that the connection could be reused, without a bound on its bytes; only the deadline of the request ended it. Ruled out: bytes that pile up below the body (the connection reads no further than its body is taken), and the streams of others (9 MB with TROUBLE=0).

--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode, http};
@@ -12,6 +12,7 @@
 use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::load::Placement;
 
+use super::body;
 use super::request_context::RequestContext;
 use crate::connection::{self, Connection};
 use crate::dialect::{Directives, Echo, ForwardMetadata};
@@ -291,9 +292,8 @@
         ));
     }
     if info.is_unexecuted {
-        // The body is read to its end so that the connection can be reused.
-        let drained = body.collect().await;
-        if drained.is_ok() {
+        // The head alone states the refusal; only the reuse of the connection needs the body.
+        if body::discard(body).await {
             gateway
                 .target_pool
                 .release(placement.address, connection, &head.headers);
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
 use hyper::header::{CONNECTION, HeaderName, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode, http};
 use samphiresill_attempt::failure::{self, FailureContext, FailurePoint, Verdict};
@@ -16,10 +14,10 @@
 use samphiresill_sched::fleet::request::PlacementRequest;
 
 use super::attempt::{self, Failure, RunGuard, TargetResponse};
+use super::body;
 use super::request_context::RequestContext;
 use super::response::{self, ResponseBody};
 use super::stream;
-use crate::body_budget::Reservation;
 use crate::crash_probe;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::log_budget::Kind;
@@ -35,8 +33,6 @@
 /// Timeout for the response head of a stream when another attempt may follow, in multiples of the
 /// latency objective: callers abandon a stream after four.
 const STREAM_HEAD_TIMEOUT_FACTOR: f64 = 2.5;
-/// Maximum size of a response that is read as a whole; streams have no limit.
-const MAX_BODY_BYTES: usize = 8 << 20;
 /// Value of `Retry-After` when targets refused the request or could not be reached.
 const TARGETS_BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -310,7 +306,7 @@
     } = response;
     let time_left = ctx.time_left(gateway.clock.monotonic());
     let mut reservation = gateway.body_budget.new_reservation();
-    let read = tokio::time::timeout(time_left, read_body(body, &mut reservation)).await;
+    let read = tokio::time::timeout(time_left, body::read(body, &mut reservation)).await;
     let timed_out = |_| Failure::new(FailurePoint::Silence, "the body did not arrive in time");
     let bytes = read.map_err(timed_out)??;
     let placement = &run.placement;
@@ -345,26 +341,6 @@
     Ok(forward_response(head, ResponseBody::full(bytes)))
 }
 
-/// Reads a body to its end, within the memory budget: a faulty target may write without end.
-async fn read_body(mut body: Incoming, reservation: &mut Reservation) -> Result<Bytes, Failure> {
-    let failed = |cause: String| Failure::new(FailurePoint::DuringAnswer, cause);
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| Failure::broken_response(e.to_string()))?;
-        let Ok(chunk) = frame.into_data() else {
-            continue;
-        };
-        if buf.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(failed(format!("the body exceeds {MAX_BODY_BYTES} bytes")));
-        }
-        if !reservation.grow(chunk.len()) {
-            return Err(failed("no memory for the body".to_owned()));
-        }
-        buf.extend_from_slice(&chunk);
-    }
-    Ok(buf.freeze())
-}
-
 /// Result of a failed attempt that is reported to the fleet load.
 fn run_result(failure: &Failure) -> RunResult {
     match failure.point {
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! The request path: admission, routing, attempts at targets, and the response.
 
 pub mod attempt;
+mod body;
 pub mod events;
 pub mod forward;
 pub mod framing;
