Count buffered responses against the memory budget until they are delivered

A body that had been read as a whole was released from the budget before its caller took it: callers that do not take responses of up to 8 MiB could exceed the process's memory. The new test failed before: the budget was free again while the response of 7 MiB waited for its caller.

The reservation now belongs to the bytes, and ends with them.

--- a/samphiresill-gateway/src/body_budget.rs
+++ b/samphiresill-gateway/src/body_budget.rs
@@ -1,7 +1,7 @@
-//! A limit on the memory that buffered request bodies use.
+//! A limit on the memory that buffered bodies of requests and responses use.
 //!
-//! Guards against many callers that send large bodies at once, or send them slowly: a body that
-//! does not fit is refused before it is buffered.
+//! Guards against many callers that send large bodies at once, send them slowly, or do not take their
+//! responses: a body that does not fit is refused before it is buffered.
 //!
 //! Invariant: the reserved bytes never exceed the budget.
 
@@ -16,7 +16,7 @@
 const BODY_MEMORY_FRACTION: f64 = 0.4;
 const BYTES_PER_MB: f64 = 1_000_000.0;
 
-/// `BodyBudget` is the memory that a gateway may use for request bodies.
+/// `BodyBudget` is the memory that a gateway may use for buffered bodies.
 #[derive(Clone, Debug)]
 pub struct BodyBudget {
     free: Arc<Semaphore>,
@@ -29,7 +29,7 @@
     permit: Option<OwnedSemaphorePermit>,
 }
 
-/// `Body` is a complete request body that counts against the budget until it is dropped.
+/// `Body` is a complete body that counts against the budget until it is dropped.
 #[derive(Debug, Deref)]
 pub struct Body {
     #[deref]
@@ -37,6 +37,12 @@
     _reservation: Reservation,
 }
 
+impl AsRef<[u8]> for Body {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl BodyBudget {
     /// Creates the budget of a process that may use `memory_mb` megabytes.
     #[must_use]
--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -67,7 +67,7 @@
     pub metrics: Metrics,
     /// Rate limit of the log lines that requests write.
     pub log_budget: LogBudget,
-    /// Memory budget for buffered request bodies.
+    /// Memory budget for buffered bodies.
     pub body_budget: BodyBudget,
     /// Probes of targets whose connections broke.
     pub crash_probes: CrashProbes,
--- a/samphiresill-gateway/src/relay/body.rs
+++ b/samphiresill-gateway/src/relay/body.rs
@@ -8,7 +8,7 @@
 use samphiresill_attempt::failure::FailurePoint;
 
 use super::attempt::Failure;
-use crate::body_budget::Reservation;
+use crate::body_budget::BodyBudget;
 
 /// Maximum size of a response that is read as a whole; streams have no limit.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -18,12 +18,14 @@
 /// Time for which a body is discarded: several round trips.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Reads a body to its end, within the memory budget.
+/// Reads a body to its end. It counts against the memory budget until the bytes are dropped: a
+/// caller may take its response slowly, or not at all.
 ///
 /// # Errors
 /// When the body ends prematurely, or exceeds `MAX_BODY_BYTES` or the budget.
-pub async fn read(mut body: Incoming, reservation: &mut Reservation) -> Result<Bytes, Failure> {
+pub async fn read(mut body: Incoming, budget: &BodyBudget) -> Result<Bytes, Failure> {
     let failed = |cause: String| Failure::new(FailurePoint::DuringAnswer, cause);
+    let mut reservation = budget.new_reservation();
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| Failure::broken_response(e.to_string()))?;
@@ -38,7 +40,7 @@
         }
         buf.extend_from_slice(&chunk);
     }
-    Ok(buf.freeze())
+    Ok(Bytes::from_owner(reservation.into_body(buf.freeze())))
 }
 
 /// Discards a body that is not needed. Returns whether it ended, so that its connection can be
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -305,8 +305,7 @@
         connection,
     } = response;
     let time_left = ctx.time_left(gateway.clock.monotonic());
-    let mut reservation = gateway.body_budget.new_reservation();
-    let read = tokio::time::timeout(time_left, body::read(body, &mut reservation)).await;
+    let read = tokio::time::timeout(time_left, body::read(body, &gateway.body_budget)).await;
     let timed_out = |_| Failure::new(FailurePoint::Silence, "the body did not arrive in time");
     let bytes = read.map_err(timed_out)??;
     let placement = &run.placement;
