Bound the lists of cached parts that engines send

A scheduler that starts queried all of its engines at once and buffered up to 8 MiB from each, decoded into four allocations for every 14 bytes: one faulty engine could exceed the memory of each scheduler at its start.

A longer list costs that engine alone: its cache is learnt from requests, as when the query fails.

--- a/samphiresill-gateway/src/connection/call.rs
+++ b/samphiresill-gateway/src/connection/call.rs
@@ -27,9 +27,23 @@
     address: SocketAddr,
     path: &str,
     timeout: Duration,
+) -> Result<Response<Bytes>, Error> {
+    get_limited(pool, address, path, timeout, MAX_RESPONSE_BYTES).await
+}
+
+/// Like [`get`], for a response whose body has at most `max_bytes`.
+///
+/// # Errors
+/// As for [`get`].
+pub async fn get_limited(
+    pool: &Pool,
+    address: SocketAddr,
+    path: &str,
+    timeout: Duration,
+    max_bytes: usize,
 ) -> Result<Response<Bytes>, Error> {
     let req = Request::get(path).body(Full::default());
-    call(pool, address, req, timeout).await
+    call(pool, address, req, timeout, max_bytes).await
 }
 
 /// Sends a POST request with a JSON document and returns the response with its complete body.
@@ -46,7 +60,7 @@
     let req = Request::post(path)
         .header(CONTENT_TYPE, "application/json")
         .body(Full::from(document));
-    call(pool, address, req, timeout).await
+    call(pool, address, req, timeout, MAX_RESPONSE_BYTES).await
 }
 
 async fn call(
@@ -54,9 +68,10 @@
     address: SocketAddr,
     req: http::Result<Request<Full<Bytes>>>,
     timeout: Duration,
+    max_bytes: usize,
 ) -> Result<Response<Bytes>, Error> {
     let req = req.expect("invariant: paths of calls are valid");
-    tokio::time::timeout(timeout, exchange(pool, address, req))
+    tokio::time::timeout(timeout, exchange(pool, address, req, max_bytes))
         .await
         .unwrap_or(Err(Error::Timeout))
 }
@@ -65,13 +80,14 @@
     pool: &Pool,
     address: SocketAddr,
     mut req: Request<Full<Bytes>>,
+    max_bytes: usize,
 ) -> Result<Response<Bytes>, Error> {
     let host = HeaderValue::from_str(&address.to_string());
     let host = host.expect("invariant: an address is a valid header value");
     req.headers_mut().insert(HOST, host);
     let mut connection = pool.acquire(address, CONNECT_TIMEOUT).await?;
     let (head, body) = connection.send(req).await?.into_parts();
-    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let collected = Limited::new(body, max_bytes).collect().await;
     let bytes = collected
         .map_err(|e| Error::Truncated {
             cause: e.to_string(),
--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -5,10 +5,12 @@
 //! engines that do not cache their prefix and have to prefill it again.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::stream::{self, StreamExt};
 use hyper::StatusCode;
 use samphiresill_core::name::{KeyHash, TargetName};
 use samphiresill_sched::fleet::request::PromptPart;
@@ -28,6 +30,11 @@
 /// Timeout of a query to an engine.
 const CACHE_LIST_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Maximum size of a list: some 40 bytes for each of the parts that an engine caches.
+const MAX_CACHE_LIST_BYTES: usize = 1 << 20;
+/// Number of engines that are queried at a time, which bounds the memory for their lists.
+const CONCURRENT_QUERIES: usize = 8;
+
 /// Contents of the engines' caches, by the name of the engine.
 pub(super) type Caches = Vec<(TargetName, Vec<PromptPart>)>;
 
@@ -89,7 +96,8 @@
         (engine, listed)
     });
     let (mut engines, mut parts) = (0, 0);
-    for (engine, listed) in futures::future::join_all(lists).await {
+    let mut lists = pin!(stream::iter(lists).buffer_unordered(CONCURRENT_QUERIES));
+    while let Some((engine, listed)) = lists.next().await {
         match listed {
             Ok(found) => {
                 engines += 1;
@@ -113,7 +121,9 @@
 
 async fn list_cache(gateway: &Gateway, engine: SocketAddr) -> anyhow::Result<Vec<PromptPart>> {
     let path = gateway.dialect.cache_list_path();
-    let response = call::get(&gateway.target_pool, engine, path, CACHE_LIST_TIMEOUT).await?;
+    let (pool, timeout) = (&gateway.target_pool, CACHE_LIST_TIMEOUT);
+    let listed = call::get_limited(pool, engine, path, timeout, MAX_CACHE_LIST_BYTES);
+    let response = listed.await?;
     let status = response.status();
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
     Ok(gateway.dialect.cache_list(response.body())?)
