Step in for watchers by the age of the store's last answer

Cause: a watcher was believed because it said so in its heartbeats, until its long poll of 3 s and 0.5 s more had timed out; the others counted their 1.2 s only from then on. Ruled out: late fetches from peers (their logs have none before), and a slow store (they do not call it).

Heartbeats now carry the age of the store's last answer, and others step in by it: schedulers from 1.45 s on, all other gateways from 1.65 s on, twelve within 0.2 s and then one a second. Watchers poll in turns, by the store's clock, so that an answer is due each second. The ages follow a load frame, where gateways of the former build ignore them.

The tests failed before: others_step_in_before_unanswered_watchers_give_up ("all calls of the watchers have timed out before", both cases); the fleets in simulated time are new, and fail with the former timeout of 3.5 s.

--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -12,14 +12,16 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use samphiresill_core::routing::{RoutingTable, TargetEntry};
+use samphiresill_member::store_watch::PollTurn;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use self::directory::{Change, Directory, Update};
 use crate::dialect::Dialect;
 
-/// Age after which the last heartbeat of a watching peer is ignored: three heartbeat intervals.
-const PEER_WATCHING_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Age up to which the store's newest answer to a peer shows that the store is available: the interval
+/// between answers to the watchers, and that between heartbeats.
+const PEER_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// `Versions` are the versions of a router's routing state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,12 +32,14 @@
     pub directory: u64,
 }
 
-/// `WatchState` records whether this gateway should watch the store, and whether the store
-/// responds.
+/// `WatchState` records whether this gateway should watch the store, and when the store has last
+/// answered it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct WatchState {
     is_wanted: bool,
-    is_store_available: bool,
+    turn: PollTurn,
+    /// Monotonic time up to which the store's answers show all changes; `None` while its calls fail.
+    answered_at: Option<Duration>,
 }
 
 /// `RoutingState` is read by the request path, and updated from the store and from peers.
@@ -46,9 +50,9 @@
     directory: Mutex<Directory>,
     changed: watch::Sender<()>,
     watching: watch::Sender<WatchState>,
-    /// Monotonic time in milliseconds of the last heartbeat from a peer to which the store
-    /// responds; 0 when there was none.
-    peer_watching_at_ms: AtomicU64,
+    /// Monotonic time in milliseconds of the store's newest known answer to a peer; 0 when there was
+    /// none.
+    peer_answered_at_ms: AtomicU64,
 }
 
 impl RoutingState {
@@ -62,50 +66,86 @@
             directory: Mutex::default(),
             changed: watch::channel(()).0,
             watching: watch::channel(WatchState::default()).0,
-            peer_watching_at_ms: AtomicU64::new(0),
+            peer_answered_at_ms: AtomicU64::new(0),
         }
     }
 
     /// Sets whether this gateway should watch the store.
     pub fn set_watching(&self, is_wanted: bool) {
-        let is_new = self.watching.send_if_modified(|w| {
+        self.watching.send_if_modified(|w| {
             let is_new = w.is_wanted != is_wanted;
             w.is_wanted = is_wanted;
-            w.is_store_available &= is_wanted;
+            w.answered_at = w.answered_at.filter(|_| is_wanted);
             is_new
         });
-        if is_new {
-            log::info!(is_wanted; "watching the store");
-        }
     }
 
-    /// Sets whether the store responds to this gateway.
-    pub fn set_store_available(&self, is_available: bool) {
+    /// Sets in which turn this gateway polls the store while it watches it.
+    pub fn set_poll_turn(&self, turn: PollTurn) {
+        self.watching.send_if_modified(|w| {
+            w.turn = turn;
+            false
+        });
+    }
+
+    /// Turn in which this gateway polls the store.
+    #[must_use]
+    pub fn poll_turn(&self) -> PollTurn {
+        self.watching.borrow().turn
+    }
+
+    /// Sets up to which time the store's answers to this gateway show all changes; `None` when one of
+    /// its calls has failed.
+    pub fn set_store_answered(&self, answered_at: Option<Duration>) {
         self.watching.send_if_modified(|w| {
-            let is_new = w.is_store_available != is_available;
-            w.is_store_available = is_available && w.is_wanted;
+            let answered_at = answered_at.filter(|_| w.is_wanted);
+            let is_new = w.answered_at != answered_at;
+            w.answered_at = answered_at;
             is_new
         });
     }
 
-    /// Records a heartbeat from a peer to which the store responds.
-    pub fn record_peer_watching(&self, now: Duration) {
-        self.peer_watching_at_ms
-            .store(now.as_millis() as u64, Ordering::Relaxed);
+    /// Records that the store has answered a peer at `at`.
+    pub fn record_peer_answer(&self, at: Duration) {
+        self.peer_answered_at_ms
+            .fetch_max(at.as_millis() as u64, Ordering::Relaxed);
     }
 
-    /// Whether the store responds to a peer, so that a failed call here is not an outage of the
-    /// store.
+    /// Time since the store's newest known answer to a peer; `None` when there was none.
+    #[must_use]
+    pub fn peer_answer_age(&self, now: Duration) -> Option<Duration> {
+        let at = Duration::from_millis(self.peer_answered_at_ms.load(Ordering::Relaxed));
+        (!at.is_zero()).then(|| now.saturating_sub(at))
+    }
+
+    /// Whether the store answers a peer, so that a failed call here is not an outage of the store.
     #[must_use]
     pub fn is_peer_watching(&self, now: Duration) -> bool {
-        let at = Duration::from_millis(self.peer_watching_at_ms.load(Ordering::Relaxed));
-        !at.is_zero() && now.saturating_sub(at) < PEER_WATCHING_TIMEOUT
+        let age = self.peer_answer_age(now);
+        age.is_some_and(|age| age < PEER_ANSWER_TIMEOUT)
     }
 
-    /// Whether this gateway watches the store and the store responds.
+    /// Whether this gateway watches the store and none of its calls has failed since the last answers.
     #[must_use]
     pub fn is_watching(&self) -> bool {
-        self.watching.borrow().is_store_available
+        self.watching.borrow().answered_at.is_some()
+    }
+
+    /// Time since the store has last answered this gateway, for all tables; `None` while it does not
+    /// watch the store or its calls fail.
+    #[must_use]
+    pub fn answer_age(&self, now: Duration) -> Option<Duration> {
+        let answered_at = self.watching.borrow().answered_at;
+        answered_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Waits until the store has answered this gateway later than `after`.
+    pub async fn answered_after(&self, after: Duration) -> Duration {
+        let mut watching = self.watching.subscribe();
+        let is_later = |w: &WatchState| w.answered_at.is_some_and(|at| at > after);
+        // The sender is not dropped before `self`.
+        let state = watching.wait_for(is_later).await;
+        state.ok().and_then(|w| w.answered_at).unwrap_or(after)
     }
 
     /// Waits until this gateway should watch the store, or until it should not.
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -10,6 +10,7 @@
 use samphiresill_member::member::{Health, Incarnation, Member};
 use samphiresill_member::membership::{self, Membership, Message, Output};
 use samphiresill_member::roles::{self, Roles};
+use samphiresill_member::store_watch::{Reason, StoreWatch};
 use samphiresill_sched::fleet::directive::rate_limit::LimitShare;
 
 use super::frame::Frame;
@@ -62,9 +63,8 @@
     pub(super) runs_listed_at: Duration,
     pub(super) swept_at: Duration,
     pub(super) ejected: BTreeSet<TargetName>,
-    pub(super) watcher_seen_at: Duration,
-    /// When the last frame from a parent in the dissemination tree arrived.
-    pub(super) parent_seen_at: Duration,
+    pub(super) store_watch: StoreWatch,
+    pub(super) watch_reason: Option<Reason>,
     pub(super) announced_version: u64,
     pub(super) behind_since: Option<Duration>,
     pub(super) is_fetching: Arc<AtomicBool>,
@@ -119,8 +119,9 @@
             runs_listed_at: now,
             swept_at: now,
             ejected: BTreeSet::new(),
-            watcher_seen_at: now,
-            parent_seen_at: now,
+            // Jittered so that not all gateways of a failure domain read the store at once.
+            store_watch: StoreWatch::new((instance_id % 1_000) as f64 / 1_000.0, now),
+            watch_reason: None,
             announced_version: 0,
             behind_since: None,
             is_fetching: Arc::default(),
@@ -137,6 +138,8 @@
         let mut leaving = self.peers.leaving.subscribe();
         let mut changes = self.gateway.routing_state.subscribe();
         let peers = Arc::clone(&self.peers);
+        let routing_state = Arc::clone(&self.gateway.routing_state);
+        let mut announced_at = Duration::ZERO;
         self.assign_roles();
         let announcement = Frame::Load(self.empty_frame());
         let seeds = self.gateway.settings.load().seeds.clone();
@@ -149,6 +152,10 @@
                 },
                 _ = ticks.tick() => self.tick().await,
                 Ok(()) = changes.changed() => self.relay_updates().await,
+                answered_at = routing_state.answered_after(announced_at) => {
+                    announced_at = answered_at;
+                    self.announce_answer().await;
+                }
                 Ok(()) = leaving.changed() => {
                     let out = self.membership.leave();
                     self.apply_outputs(out).await;
@@ -215,7 +222,7 @@
         let members = self.membership.members().values();
         let all = members.chain(std::iter::once(&own));
         let roles = Roles::new(all, ROLE_COUNTS);
-        let is_new = roles != self.roles;
+        let is_new = roles.schedulers != self.roles.schedulers;
         self.roles = roles;
         let is_scheduler = self.roles.is_scheduler(&self.vm);
         let now = self.gateway.clock.monotonic();
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -57,6 +57,19 @@
     pub runs: Option<Vec<u32>>,
     /// The latest changes of the directory of targets, or a part of them.
     pub update: Option<Update>,
+    /// Ages of the store's answers. They follow the frame in its datagram, where gateways that do not
+    /// know them ignore them.
+    #[serde(skip)]
+    pub answers: StoreAnswers,
+}
+
+/// `StoreAnswers` are the ages of the store's newest answers when a frame was sent, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreAnswers {
+    /// Answers to the sender itself; `None` while it does not watch the store or its calls fail.
+    pub own_ms: Option<u32>,
+    /// Answers to the sender or to any gateway that has told it directly.
+    pub known_ms: Option<u32>,
 }
 
 /// `PlacementRequestFrame` requests a placement from a scheduler.
@@ -142,7 +155,13 @@
     /// # Errors
     /// When the encoder fails, which it does not for the types in a frame.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        let bytes = postcard::to_stdvec(self)?;
+        match self {
+            Self::Load(load) if load.answers != StoreAnswers::default() => {
+                postcard::to_extend(&load.answers, bytes)
+            }
+            _ => Ok(bytes),
+        }
     }
 
     /// Decodes a frame.
@@ -150,6 +169,12 @@
     /// # Errors
     /// When the bytes are not a valid frame.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        let (mut frame, rest) = postcard::take_from_bytes(bytes)?;
+        if let Self::Load(load) = &mut frame
+            && !rest.is_empty()
+        {
+            load.answers = postcard::from_bytes(rest)?;
+        }
+        Ok(frame)
     }
 }
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -30,12 +30,10 @@
             return;
         }
         let before = self.origins.insert(from, frame.origin);
-        if frame.is_watching {
-            self.watcher_seen_at = now;
-            self.gateway.routing_state.record_peer_watching(now);
-        }
-        if self.peers.parents().contains(&from) {
-            self.parent_seen_at = now;
+        let is_parent = self.peers.parents().contains(&from);
+        self.receive_answers(&frame, is_parent, now);
+        if is_parent {
+            self.store_watch.record_parent(now);
         }
         if frame.is_for_relay {
             self.clients.insert(from, now);
@@ -112,7 +110,8 @@
     }
 
     /// Receivers of a heartbeat without load: the clients of a scheduler, and the parents of any
-    /// other gateway, except those that already receive the load.
+    /// other gateway, or all schedulers while it watches the store, except those that already receive
+    /// the load.
     fn heartbeat_receivers(
         &mut self,
         is_scheduler: bool,
@@ -120,7 +119,9 @@
         load_receivers: &[SocketAddr],
     ) -> Vec<SocketAddr> {
         let mut receivers = self.live_clients(now);
-        if !is_scheduler {
+        if !is_scheduler && self.gateway.routing_state.is_watching() {
+            receivers.extend(self.peers.other_schedulers());
+        } else if !is_scheduler {
             receivers.extend(self.peers.parents());
         }
         receivers.retain(|a| !load_receivers.contains(a));
@@ -189,6 +190,7 @@
             origin: self.instance_id,
             versions: self.gateway.routing_state.versions(),
             is_watching: self.gateway.routing_state.is_watching(),
+            answers: self.answers(),
             ..LoadFrame::default()
         }
     }
--- a/samphiresill-member/src/lib.rs
+++ b/samphiresill-member/src/lib.rs
@@ -8,8 +8,11 @@
 pub mod member;
 pub mod membership;
 pub mod roles;
+pub mod store_watch;
 
 #[cfg(test)]
 mod roles_tests;
 #[cfg(test)]
+mod store_watch_tests;
+#[cfg(test)]
 mod tests;
--- a/samphiresill-member/src/roles.rs
+++ b/samphiresill-member/src/roles.rs
@@ -4,10 +4,12 @@
 //! routers than intended, which is harmless.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
 
 use samphiresill_core::name::{DomainName, VmName};
 
 use crate::member::Member;
+use crate::store_watch::Position;
 
 /// `RoleCounts` defines how many routers hold each role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     pub schedulers: Vec<Member>,
     /// Routers that watch the store on behalf of all others; the first of the schedulers.
     pub watchers: Vec<Member>,
+    /// Routers that are no schedulers, by a hash of their addresses.
+    others: BTreeSet<(u64, SocketAddr)>,
 }
 
 impl Roles {
@@ -61,9 +65,15 @@
         }
         schedulers.truncate(max_schedulers);
         let watchers = schedulers.iter().take(counts.watchers).cloned().collect();
+        // Those that have no role are left.
+        let others = domains.values().flatten();
+        let others = others
+            .map(|m| (address_hash(m.address), m.address))
+            .collect();
         Self {
             schedulers,
             watchers,
+            others,
         }
     }
 
@@ -79,6 +89,23 @@
         self.watchers.iter().any(|m| m.vm == *vm)
     }
 
+    /// Returns the place of a router in the order in which routers watch the store.
+    #[must_use]
+    pub fn position(&self, vm: &VmName, address: SocketAddr) -> Position {
+        let watchers = self.watchers.len();
+        match self.schedulers.iter().position(|m| m.vm == *vm) {
+            Some(rank) if rank < watchers => Position::Watcher { rank },
+            Some(rank) => Position::Scheduler {
+                rank: rank - watchers,
+            },
+            None => {
+                let own = (address_hash(address), address);
+                let rank = self.others.range(..own).count();
+                Position::Other { rank }
+            }
+        }
+    }
+
     /// Returns the schedulers in the order in which a router should contact them. Schedulers in its
     /// own failure domain come first; within a domain, rendezvous hashing distributes the routers
     /// evenly.
@@ -95,8 +122,21 @@
 
     /// Returns the addresses of the schedulers other than `own`.
     #[must_use]
-    pub fn other_schedulers(&self, own: &VmName) -> BTreeSet<std::net::SocketAddr> {
+    pub fn other_schedulers(&self, own: &VmName) -> BTreeSet<SocketAddr> {
         let others = self.schedulers.iter().filter(|m| m.vm != *own);
         others.map(|m| m.address).collect()
     }
 }
+
+/// Multiplier of Fibonacci hashing: 2^64 divided by the golden ratio.
+const FIBONACCI_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// Orders routers independently of how addresses were assigned to domains and racks.
+fn address_hash(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => (ip.to_bits() ^ (ip.to_bits() >> 64)) as u64,
+    };
+    let mixed = (ip << 16 ^ u64::from(address.port())).wrapping_mul(FIBONACCI_MULTIPLIER);
+    (mixed ^ (mixed >> 32)).wrapping_mul(FIBONACCI_MULTIPLIER)
+}
