Send a request during a planned stop only if it ends before the process

Cause: nothing compared the time that a request may take with the end of the stop. Ruled out: new requests on idle connections, which close with the listener.

Such a request is refused at once with 503, Retry-After and Connection: close, unless its deadline lies before the end of the stop.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -80,6 +80,8 @@
     /// Number of routers in the fleet.
     router_count: AtomicUsize,
     is_stopping: AtomicBool,
+    /// Monotonic time in milliseconds at which a planned stop ends; 0 while callers are accepted.
+    drain_end_ms: AtomicU64,
     in_flight: Arc<AtomicUsize>,
 }
 
@@ -127,6 +129,7 @@
             retry_budgets: Mutex::default(),
             router_count: AtomicUsize::new(1),
             is_stopping: AtomicBool::new(false),
+            drain_end_ms: AtomicU64::new(0),
             in_flight: Arc::default(),
         };
         gateway.update_retry_budgets();
@@ -212,6 +215,14 @@
         self.is_stopping.load(Ordering::Acquire)
     }
 
+    /// Whether a request with this deadline may be sent to a target: while a planned stop drains, only
+    /// one that ends before the process does.
+    #[must_use]
+    pub fn allows_run_until(&self, deadline: Duration) -> bool {
+        let drain_end = self.drain_end_ms.load(Ordering::Acquire);
+        drain_end == 0 || deadline <= Duration::from_millis(drain_end)
+    }
+
     /// Whether the load balancer should route callers to this gateway.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -312,8 +323,10 @@
         self.is_stopping.store(true, Ordering::Release);
         self.peers.announce_leaving();
         tokio::time::sleep(DEREGISTRATION_DELAY.min(grace / 2)).await;
-        callers.close();
         let deadline = stop_requested_at + grace.saturating_sub(EXIT_MARGIN);
+        let drain_end_ms = deadline.as_millis().max(1) as u64;
+        self.drain_end_ms.store(drain_end_ms, Ordering::Release);
+        callers.close();
         while (self.in_flight() > 0 || callers.connections() > 0)
             && self.clock.monotonic() < deadline
         {
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -35,6 +35,8 @@
 const STREAM_HEAD_TIMEOUT_FACTOR: f64 = 2.5;
 /// Value of `Retry-After` when targets refused the request or could not be reached.
 const TARGETS_BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Value of `Retry-After` during a planned stop: another router serves at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// `ForwardError` is the reason why a request was not served and no further attempt follows.
 #[derive(Debug)]
@@ -43,6 +45,8 @@
     Refused(Refusal),
     /// No target could be reached, or each stated that it did not execute the request.
     Unavailable,
+    /// The request was not sent, because the process may end before its response.
+    Stopping,
     /// A target may have executed the request, and its response is lost.
     Lost(FailurePoint),
     /// The deadline of the request has passed.
@@ -58,9 +62,10 @@
     /// Outcome under which the metrics count it.
     fn outcome(&self) -> metrics::Outcome {
         match self {
-            Self::Refused(_) | Self::Unavailable | Self::TimeUp { has_run: false } => {
-                metrics::Outcome::Refused
-            }
+            Self::Refused(_)
+            | Self::Unavailable
+            | Self::Stopping
+            | Self::TimeUp { has_run: false } => metrics::Outcome::Refused,
             Self::TimeUp { has_run: true } => metrics::Outcome::TimeUp,
             Self::Lost(_) => metrics::Outcome::Lost,
             Self::PassOn(_) => metrics::Outcome::TargetFailure,
@@ -194,6 +199,9 @@
     async fn place(&mut self) -> Result<RunGuard, ForwardError> {
         let began = self.gateway.clock.monotonic();
         loop {
+            if self.runs == 0 && !self.gateway.allows_run_until(self.ctx.deadline) {
+                return Err(ForwardError::Stopping);
+            }
             let now = self.gateway.clock.monotonic();
             let avoided = self
                 .gateway
@@ -391,6 +399,11 @@
             log_not_served(gateway, ctx, StatusCode::SERVICE_UNAVAILABLE, reason);
             return response::refusal(reason, TARGETS_BUSY_RETRY_AFTER);
         }
+        ForwardError::Stopping => {
+            let reason = "the router stops";
+            log_not_served(gateway, ctx, StatusCode::SERVICE_UNAVAILABLE, reason);
+            return response::refusal(reason, STOPPING_RETRY_AFTER);
+        }
         ForwardError::Lost(FailurePoint::Silence) | ForwardError::TimeUp { has_run: true } => {
             (StatusCode::GATEWAY_TIMEOUT, "no answer in time".to_owned())
         }
