--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -319,7 +319,8 @@
         stop.await;
         log::info!(in_flight = self.in_flight(); "stopping");
         let stop_requested_at = self.clock.monotonic();
-        let grace = settings.bounds.stop_grace();
+        // Read now, because the grace may have changed since the start.
+        let grace = self.settings.load().bounds.stop_grace();
         self.is_stopping.store(true, Ordering::Release);
         self.peers.announce_leaving();
         tokio::time::sleep(DEREGISTRATION_DELAY.min(grace / 2)).await;
