--- a/samphiresill-gateway/src/connection/call.rs
+++ b/samphiresill-gateway/src/connection/call.rs
@@ -20,7 +20,7 @@
 /// Sends a GET request and returns the response with its complete body.
 ///
 /// # Errors
-/// As for a [`super::Connection`]; `Truncated` when the body ends prematurely or is too large;
+/// As for a [`super::Connection`]; `InvalidPath`; `Truncated` when the body ends prematurely or is too large;
 /// `Timeout` when the response is not complete within `timeout`.
 pub async fn get(
     pool: &Pool,
@@ -70,7 +70,7 @@
     timeout: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, Error> {
-    let req = req.expect("invariant: paths of calls are valid");
+    let req = req.map_err(Error::InvalidPath)?;
     tokio::time::timeout(timeout, exchange(pool, address, req, max_bytes))
         .await
         .unwrap_or(Err(Error::Timeout))
--- a/samphiresill-gateway/src/connection/mod.rs
+++ b/samphiresill-gateway/src/connection/mod.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, http};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -29,6 +29,10 @@
 /// `Error` is the reason why a request over a connection failed.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
+    /// The path of the request is not valid; nothing was sent.
+    #[display("invalid path: {_0}")]
+    #[from(skip)]
+    InvalidPath(http::Error),
     /// No connection could be established; nothing was sent.
     #[display("no connection: {_0}")]
     Connect(io::Error),
@@ -57,7 +61,7 @@
     /// Whether no byte of the request can have been sent.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Unsent)
+        matches!(self, Self::InvalidPath(_) | Self::Connect(_) | Self::Unsent)
     }
 }
 
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -101,7 +101,9 @@
 impl From<connection::Error> for Failure {
     fn from(e: connection::Error) -> Self {
         let point = match &e {
-            connection::Error::Connect(_) | connection::Error::Unsent => FailurePoint::Connect,
+            connection::Error::InvalidPath(_)
+            | connection::Error::Connect(_)
+            | connection::Error::Unsent => FailurePoint::Connect,
             connection::Error::Broken(_) => FailurePoint::Sending,
             connection::Error::Truncated { .. } => FailurePoint::DuringAnswer,
             connection::Error::Timeout => FailurePoint::Silence,
