--- a/samphiresill-gateway/src/connection/pool.rs
+++ b/samphiresill-gateway/src/connection/pool.rs
@@ -16,6 +16,8 @@
 
 /// Idle timeout when the server states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest idle timeout that is kept to, whatever the server states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_mins(10);
 /// Margin by which an idle connection is closed before the server closes it: the server's idle
 /// timer starts earlier than the one of this pool.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -76,6 +78,7 @@
             return;
         }
         let idle_timeout = keep_alive_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        let idle_timeout = idle_timeout.min(MAX_IDLE_TIMEOUT);
         let Some(idle_timeout) = idle_timeout.checked_sub(IDLE_MARGIN) else {
             return;
         };
