Convict whole requests that crash engines each time they are repeated

Cause: only the parts of a prompt that requests share were suspects of a crash. Those are in sound requests too, whose answers clear them; the part that is the request's own was left out.

A fingerprint of the whole prompt is a suspect now. Three crashes of several engines at several moments convict it, unless chance explains them, by the other crashes, the number of engines and the time for which a repeat is exposed. Repeats of one request count once against the parts that it shares.

Not done: plain requests without a prompt.

--- a/samphiresill-gateway/src/crash_probe.rs
+++ b/samphiresill-gateway/src/crash_probe.rs
@@ -12,6 +12,7 @@
 use samphiresill_core::name::TargetName;
 use samphiresill_sched::fleet::load::Placement;
 use samphiresill_sched::fleet::quarantine::evidence::Suspect;
+use samphiresill_sched::fleet::quarantine::whole;
 use samphiresill_sched::fleet::request::Generation;
 
 use crate::connection::{self, Connection};
@@ -40,7 +41,7 @@
 }
 
 /// Records that the connection of a run broke. When the target has crashed, the parts of the prompt
-/// are published as suspects.
+/// that others share, and the request itself, are published as suspects.
 pub fn record_broken_run(gateway: &Arc<Gateway>, placement: &Placement, generation: &Generation) {
     let mut probes = gateway.crash_probes.lock();
     let is_first = matches!(probes.entry(placement.target.clone()), Entry::Vacant(_));
@@ -56,10 +57,15 @@
 
 fn suspects(generation: &Generation) -> impl Iterator<Item = Suspect> {
     let parts = generation.shared_parts().enumerate();
-    parts.map(|(depth, part)| Suspect {
+    let parts = parts.map(|(depth, part)| Suspect {
         part,
-        depth: u8::try_from(depth).unwrap_or(u8::MAX),
-    })
+        depth: u8::try_from(depth).unwrap_or(u8::MAX).min(whole::DEPTH - 1),
+    });
+    let whole = generation.fingerprint().map(|part| Suspect {
+        part,
+        depth: whole::DEPTH,
+    });
+    parts.chain(whole)
 }
 
 async fn probe(gateway: Arc<Gateway>, target: TargetName, address: SocketAddr) {
--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -52,6 +52,8 @@
     modelled_interval_ms: f64,
     /// Parts of the prompt that other requests may share.
     shared_parts: Vec<u64>,
+    /// Fingerprint of the whole prompt.
+    fingerprint: Option<u64>,
 }
 
 /// `EngineLoad` is the load of one engine.
@@ -225,6 +227,7 @@
             since: now,
             modelled_interval_ms: self.modelled_interval_ms(generation, prefill, now),
             shared_parts: generation.shared_parts().collect(),
+            fingerprint: generation.fingerprint(),
         };
         let ready_at = now
             + self.wait(now)
@@ -289,11 +292,11 @@
         self.pending.remove(&(entry.since, run));
     }
 
-    /// Returns the shared parts of the prompt of a run that has begun its answer.
+    /// Returns the shared parts of the prompt of a run that has begun its answer, and its fingerprint.
     #[must_use]
-    pub fn answered_parts(&self, run: RunId) -> Option<&[u64]> {
+    pub fn answered_parts(&self, run: RunId) -> Option<(&[u64], Option<u64>)> {
         let run = self.runs.get(&run).filter(|r| r.prefill.is_none());
-        run.map(|r| &*r.shared_parts)
+        run.map(|r| (&*r.shared_parts, r.fingerprint))
     }
 
     /// Returns the time at which a run was sent to the engine.
--- a/samphiresill-sched/src/fleet/load/crashes.rs
+++ b/samphiresill-sched/src/fleet/load/crashes.rs
@@ -1,10 +1,11 @@
-//! Crashes of targets, and the quarantine of prompt parts that cause them.
+//! Crashes of targets, and the quarantine of prompt parts and requests that cause them.
 
 use std::time::Duration;
 
 use samphiresill_core::name::TargetName;
 
 use super::FleetLoad;
+use super::target::{Target, TargetLoad};
 use crate::fleet::event::Event;
 use crate::fleet::quarantine::evidence::{Conviction, CrashRecord, Suspect};
 use crate::fleet::quarantine::{Notice, Quarantine};
@@ -15,7 +16,7 @@
 
 impl FleetLoad {
     /// Records that a target has crashed while it ran `runs` requests of this router, and publishes
-    /// the shared parts of their prompts.
+    /// the shared parts of their prompts and the fingerprints of these requests.
     pub fn record_crash(
         &mut self,
         target: &TargetName,
@@ -37,7 +38,7 @@
     /// Returns how long requests with this prompt will be refused; `None` when they are not.
     #[must_use]
     pub fn quarantine_remaining(&self, generation: &Generation, now: Duration) -> Option<Duration> {
-        self.quarantine.remaining(generation.shared_parts(), now)
+        self.quarantine.remaining(generation.listed_as(), now)
     }
 
     /// Returns the crashes whose evidence outlasts a restart.
@@ -63,10 +64,13 @@
     /// Lists the prompt parts that the crashes so far convict, and returns what is new.
     pub fn judge_crashes(&mut self, now: Duration) -> Vec<Conviction> {
         let mut convictions = Vec::new();
+        let is_engine = |t: &&Target| matches!(t.load, TargetLoad::Engine(_));
+        let engines = self.targets.values().filter(is_engine).count();
         loop {
             let quarantine = &self.quarantine;
             let is_on_probation = |part| quarantine.is_on_probation(part, now);
-            let Some(conviction) = self.crash_evidence.convict(is_on_probation, now) else {
+            let Some(conviction) = self.crash_evidence.convict(is_on_probation, engines, now)
+            else {
                 return convictions;
             };
             let Conviction {
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -413,12 +413,15 @@
                 if let Some(target) = self.targets.get_mut(target) {
                     if let TargetLoad::Engine(load) = &target.load {
                         self.token_interval.record_result(*result);
-                        if let (RunResult::Answered { .. }, Some(parts)) =
+                        if let (RunResult::Answered { .. }, Some((parts, fingerprint))) =
                             (result, load.answered_parts(*run))
                         {
                             let began_at = load.since(*run).unwrap_or(now);
                             self.crash_evidence.record_answer(parts, now);
-                            for part in parts {
+                            if let Some(fingerprint) = fingerprint {
+                                self.crash_evidence.record_whole_answer(fingerprint, now);
+                            }
+                            for part in parts.iter().chain(&fingerprint) {
                                 self.quarantine.acquit(*part, began_at, now);
                             }
                         }
--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -15,6 +15,8 @@
 use samphiresill_core::name::TargetName;
 use serde::{Deserialize, Serialize};
 
+use super::whole::{self, Background};
+
 /// Crashes without which no part is convicted.
 const MIN_CRASHES: usize = 3;
 /// Crashes after which a part is convicted although the evidence is ambiguous: others ran in all of
@@ -53,12 +55,12 @@
 /// Maximum number of answered parts that are remembered.
 const MAX_ANSWERED: usize = 4_096;
 
-/// `Suspect` is a part of a prompt that ran on a target when it crashed.
+/// `Suspect` is a part of a prompt that ran on a target when it crashed, or a whole request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Suspect {
-    /// The part.
+    /// The part, or the fingerprint of the request.
     pub part: u64,
-    /// Number of parts before it in the prompt.
+    /// Number of parts before it in the prompt; [`whole::DEPTH`] for a whole request.
     pub depth: u8,
 }
 
@@ -92,20 +94,26 @@
     suspects: BTreeMap<u64, u8>,
 }
 
-/// `Case` is the evidence against one part.
+/// `Case` is the evidence against one part, or one whole request.
 #[derive(Debug)]
-struct Case {
+pub(super) struct Case {
     part: u64,
     depth: u8,
-    crashes: usize,
-    targets: usize,
+    pub(super) crashes: usize,
+    pub(super) targets: usize,
     crashed_at: Duration,
     /// Groups of simultaneous crashes since its first one, and those that it explains.
     groups: usize,
-    explained_groups: usize,
+    pub(super) explained_groups: usize,
     was_answered: bool,
 }
 
+impl Case {
+    fn is_whole(&self) -> bool {
+        self.depth == whole::DEPTH
+    }
+}
+
 /// `CrashEvidence` is what one router knows about crashes of targets.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
@@ -222,6 +230,16 @@
         }
     }
 
+    /// Records that a whole request was answered completely. Answers are remembered only of those that
+    /// ran in a crash, because most requests are never repeated.
+    pub fn record_whole_answer(&mut self, fingerprint: u64, now: Duration) {
+        let crashes = self.crashes.iter_mut();
+        let cleared = crashes.filter_map(|c| c.suspects.remove(&fingerprint));
+        if cleared.count() > 0 {
+            self.answered.insert(fingerprint, now + CLOCK_OFFSET);
+        }
+    }
+
     /// Removes the crashes that a part explains, so that they count against no other part.
     pub fn explain(&mut self, part: u64) {
         self.crashes.retain(|c| !c.suspects.contains_key(&part));
@@ -235,11 +253,13 @@
         settled_at.any(|at| self.judged_at < at && at <= now)
     }
 
-    /// Returns the part that the evidence convicts, if any, and removes the crashes that it
-    /// explains. A part on probation is convicted by one crash.
+    /// Returns the part or the whole request that the evidence convicts, if any, and removes the
+    /// crashes that it explains. One on probation is convicted by one crash. Without a number of
+    /// `engines`, whole requests are convicted more slowly.
     pub fn convict(
         &mut self,
         is_on_probation: impl Fn(u64) -> bool,
+        engines: usize,
         now: Duration,
     ) -> Option<Conviction> {
         let now = now + CLOCK_OFFSET;
@@ -249,7 +269,8 @@
         let case = cases
             .iter()
             .find(|c| is_on_probation(c.part))
-            .or_else(|| leader(&cases).filter(|c| self.is_proven(c)))?;
+            .or_else(|| self.proven_whole(&cases, engines, now))
+            .or_else(|| self.proven_part(&cases))?;
         let conviction = Conviction {
             part: case.part,
             crashes: case.crashes,
@@ -259,9 +280,54 @@
         Some(conviction)
     }
 
-    /// Whether the evidence against the leading part is enough.
-    fn is_proven(&self, case: &Case) -> bool {
+    /// Returns the whole request that explains most crashes, if the evidence against it is enough and
+    /// no part that was never answered explains more.
+    fn proven_whole<'a>(
+        &self,
+        cases: &'a [Case],
+        engines: usize,
+        now: Duration,
+    ) -> Option<&'a Case> {
+        let unanswered = || cases.iter().filter(|c| !c.was_answered);
+        let case = unanswered()
+            .filter(|c| c.is_whole())
+            .max_by_key(|c| c.crashes)?;
+        if unanswered().any(|c| c.crashes > case.crashes) {
+            return None;
+        }
+        let settled = self.settled(now);
+        let is_recent = |c: &&&Crash| now.saturating_sub(c.at) <= whole::OBSERVATION_TIME;
+        let recent: Vec<&Crash> = settled.iter().filter(is_recent).copied().collect();
+        let groups = simultaneous(&recent).into_iter();
+        let others = groups.filter(|g| g.iter().all(|c| !c.suspects.contains_key(&case.part)));
+        let background = Background {
+            crashes: others.count(),
+            observed: now
+                .saturating_sub(CLOCK_OFFSET)
+                .min(whole::OBSERVATION_TIME),
+            engines,
+            requests: cases.iter().filter(|c| c.is_whole()).count(),
+        };
+        whole::is_proven(case, background).then_some(case)
+    }
+
+    /// Returns the part that explains most crashes, if the evidence against it is enough. A part of a
+    /// request that explains as many is not convicted for what that request does.
+    fn proven_part<'a>(&self, cases: &'a [Case]) -> Option<&'a Case> {
+        let (wholes, parts): (Vec<&Case>, Vec<&Case>) = cases.iter().partition(|c| c.is_whole());
+        let unanswered = wholes.iter().filter(|c| !c.was_answered);
+        let by_whole = unanswered.map(|c| c.crashes).max().unwrap_or(0);
+        let case = leader(&parts)?;
         let is_firm = case.crashes >= FIRM_CRASHES;
+        let is_proven = (is_firm || case.crashes > by_whole) && self.is_proven(case, by_whole);
+        is_proven.then_some(case)
+    }
+
+    /// Whether the evidence against the leading part is enough. A request that ran in `by_whole` crashes,
+    /// because it was repeated, may be the only one with the part in them.
+    fn is_proven(&self, case: &Case, by_whole: usize) -> bool {
+        let firm_crashes = FIRM_CRASHES + by_whole.saturating_sub(1);
+        let is_firm = case.crashes >= firm_crashes;
         let is_varied = case.explained_groups > 1 && (case.targets > 1 || is_firm);
         if case.crashes < MIN_CRASHES || !is_varied {
             return false;
@@ -273,24 +339,30 @@
         let explains_all = case.explained_groups == case.groups;
         let explains_most = case.explained_groups as f64 >= case.groups as f64 * MOST;
         let explains_crashes = explains_all && (is_firm || chance < MAX_CHANCE_IN_ALL)
-            || explains_most && case.crashes > FIRM_CRASHES;
+            || explains_most && case.crashes > firm_crashes;
         explains_crashes && !case.was_answered
     }
 
     /// Probability that any of the suspects runs in so many crashes, and is never answered, though
     /// it causes none.
     fn chance(&self, case: &Case) -> f64 {
-        let suspects = self.crashes.iter().flat_map(|c| c.suspects.keys());
-        let parts = suspects.collect::<BTreeSet<_>>().len();
+        let suspects = self.crashes.iter().flat_map(|c| &c.suspects);
+        let parts = suspects.filter(|(_, depth)| **depth != whole::DEPTH);
+        let parts = parts.map(|(part, _)| part).collect::<BTreeSet<_>>().len();
         let ended_runs = self.crashed_runs + self.answered_runs;
         let rate = (self.crashed_runs + PRIOR_RUNS / 2.0) / (ended_runs + PRIOR_RUNS);
         rate.powf(case.crashes as f64) * parts as f64
     }
 
+    /// Returns the crashes that all routers have reported.
+    fn settled(&self, now: Duration) -> Vec<&Crash> {
+        let is_settled = |c: &&Crash| c.at + SETTLING_TIME <= now;
+        self.crashes.iter().filter(is_settled).collect()
+    }
+
     /// Returns the evidence against each part, from the crashes that all routers have reported.
     fn cases(&self, now: Duration) -> Vec<Case> {
-        let is_settled = |c: &&Crash| c.at + SETTLING_TIME <= now;
-        let settled: Vec<&Crash> = self.crashes.iter().filter(is_settled).collect();
+        let settled = self.settled(now);
         let groups = simultaneous(&settled);
         let mut cases: BTreeMap<u64, Case> = BTreeMap::new();
         let mut targets: BTreeMap<u64, BTreeSet<&TargetName>> = BTreeMap::new();
@@ -341,10 +413,10 @@
 
 /// Returns the part that ran in more crashes than any other; among several, the one that was never
 /// answered. `None` while the evidence does not tell them apart.
-fn leader(cases: &[Case]) -> Option<&Case> {
+fn leader<'a>(cases: &[&'a Case]) -> Option<&'a Case> {
     let most = cases.iter().map(|c| c.crashes).max()?;
     let is_firm = most >= FIRM_CRASHES;
-    let leaders = || cases.iter().filter(|c| c.crashes == most);
+    let leaders = || cases.iter().copied().filter(|c| c.crashes == most);
     let unanswered = || leaders().filter(|c| !c.was_answered);
     match (unanswered().count(), leaders().count()) {
         (1, _) => unanswered().next(),
--- a/samphiresill-sched/src/fleet/quarantine/mod.rs
+++ b/samphiresill-sched/src/fleet/quarantine/mod.rs
@@ -1,13 +1,16 @@
-//! Prompt parts that crash engines: the list of quarantined parts, and the evidence for it.
+//! Prompt parts and whole requests that crash engines: the list of those in quarantine, and the
+//! evidence for it.
 //!
-//! Handles the load pattern in which requests that share one part of their prompts crash each engine
-//! that begins to answer them (a query of death): what ran on the engines when they crashed convicts
-//! the part, and requests with it are refused by all routers.
+//! Handles the load pattern in which requests that share one part of their prompts, or one request
+//! that is repeated, crash each engine that begins to answer them (a query of death): what ran on the
+//! engines when they crashed convicts the part or the request, and all routers refuse it. A whole
+//! request is listed by its fingerprint, in the place of a part.
 //!
 //! Invariants: at most [`MAX_ENTRIES`] parts are listed; of two notices about a part, the one with
 //! the higher revision holds, on all routers.
 
 pub mod evidence;
+pub mod whole;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/samphiresill-sched/src/fleet/request.rs
+++ b/samphiresill-sched/src/fleet/request.rs
@@ -56,6 +56,28 @@
         self.parts[..count].iter().map(|part| part.id)
     }
 
+    /// Returns a fingerprint of the whole prompt, which is the same for all repeats of the request;
+    /// `None` when its parts are not known.
+    #[must_use]
+    pub fn fingerprint(&self) -> Option<u64> {
+        if self.parts.is_empty() {
+            return None;
+        }
+        let mut hasher = blake3::Hasher::new();
+        for part in &self.parts {
+            hasher.update(&part.id.to_le_bytes());
+        }
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Some(u64::from_le_bytes(first))
+    }
+
+    /// Returns what the quarantine may list of the request: its shared parts, and itself.
+    pub fn listed_as(&self) -> impl Iterator<Item = u64> {
+        let whole = std::iter::once_with(|| self.fingerprint()).flatten();
+        self.shared_parts().chain(whole)
+    }
+
     /// Returns the cost of the request in weighted tokens.
     #[must_use]
     pub fn cost(&self) -> u64 {
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -8,3 +8,4 @@
 mod quarantine;
 mod rate_limit;
 mod simulation;
+mod whole_request;
--- a/samphiresill-sched/src/fleet/tests/quarantine.rs
+++ b/samphiresill-sched/src/fleet/tests/quarantine.rs
@@ -16,6 +16,8 @@
 /// The part that crashes engines.
 const DEADLY: u64 = 0xdead;
 
+/// Number of engines of the fleet.
+const ENGINES: usize = 9;
 /// A part of other prompts, and the number of those that are answered between two happenings.
 const OTHER: u64 = 0x07;
 const ANSWERS_BETWEEN: usize = 100;
@@ -38,7 +40,7 @@
 }
 
 fn convicted(evidence: &mut CrashEvidence, now: Duration) -> Vec<u64> {
-    let convictions = std::iter::from_fn(|| evidence.convict(|_| false, now));
+    let convictions = std::iter::from_fn(|| evidence.convict(|_| false, ENGINES, now));
     convictions.map(|c| c.part).collect()
 }
 
@@ -157,7 +159,7 @@
         &suspects(&[&[1, DEADLY]]),
         SECOND,
     );
-    let conviction = evidence.convict(|part| part == DEADLY, SECOND * 2);
+    let conviction = evidence.convict(|part| part == DEADLY, ENGINES, SECOND * 2);
     assert_eq!(conviction.map(|c| c.part), Some(DEADLY));
 }
 
