Start tasks again that must not end

All long-lived tasks but the accept loops run under one supervisor now: an end is logged with its cause, counted (`gateway_task_restarts`), and the task starts again from its initial state, after 50 ms that double to a second; readiness falls meanwhile. a_gateway_serves_on_when_any_of_its_tasks_ends ends each in turn.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::peers::Peers;
 use crate::responder::{self, FullResponse};
 use crate::settings::Settings;
+use crate::supervisor::Supervisor;
 
 /// Time from the stop signal until the load balancer sends no new connections: two failed health
 /// checks, one second apart, and a margin.
@@ -71,6 +72,8 @@
     pub body_budget: BodyBudget,
     /// Probes of targets whose connections broke.
     pub crash_probes: CrashProbes,
+    /// Runs the tasks that must not end.
+    pub supervisor: Supervisor,
     /// Notified of each change of the quarantined prompt parts.
     pub quarantine_changed: watch::Sender<u64>,
     fleet_load: Mutex<FleetLoad>,
@@ -109,14 +112,16 @@
         peers: Arc<Peers>,
         instance_id: u64,
     ) -> anyhow::Result<Arc<Self>> {
+        let metrics = Metrics::new()?;
         let gateway = Self {
+            supervisor: Supervisor::new(Arc::clone(&clock), metrics.task_restarts()),
             domain: settings.domain.clone(),
             peers,
             body_budget: BodyBudget::new(settings.limits.memory_mb),
             settings: ArcSwap::from_pointee(settings),
             target_pool: Pool::new(Arc::clone(&clock)),
             peer_pool: Pool::new(Arc::clone(&clock)),
-            metrics: Metrics::new()?,
+            metrics,
             log_budget: LogBudget::new(Arc::clone(&clock)),
             clock,
             dialect,
@@ -228,6 +233,7 @@
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
             && self.routing_state.table().is_some()
+            && self.supervisor.is_complete()
             && !self
                 .stream_limiter()
                 .is_out_of_rotation(self.clock.monotonic())
@@ -312,9 +318,9 @@
         let metrics = move |_: &_| scraped.metrics.scrape();
         responder::start(settings.listen.metrics, "metrics", metrics).await?;
         let callers = callers::start(settings.listen.callers, Arc::clone(&self)).await?;
-        tokio::spawn(Arc::clone(&self).apply_state_changes());
-        tokio::spawn(Arc::clone(&self).sweep_idle_connections());
-        tokio::spawn(Arc::clone(&self).adapt_stream_limit());
+        self.supervise("state changes", Self::apply_state_changes);
+        self.supervise("idle connections", Self::sweep_idle_connections);
+        self.supervise("stream limit", Self::adapt_stream_limit);
         log::info!(vm:% = settings.vm, domain:% = settings.domain; "started");
         stop.await;
         log::info!(in_flight = self.in_flight(); "stopping");
@@ -337,6 +343,19 @@
         Ok(())
     }
 
+    /// Runs a task of this gateway that must not end.
+    fn supervise<F>(
+        self: &Arc<Self>,
+        name: &'static str,
+        task: impl Fn(Arc<Self>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let gateway = Arc::clone(self);
+        self.supervisor
+            .run(name, move || task(Arc::clone(&gateway)));
+    }
+
     /// Applies each change of the configuration and the targets to the fleet load.
     async fn apply_state_changes(self: Arc<Self>) {
         let mut changes = self.routing_state.subscribe();
--- a/samphiresill-gateway/src/lib.rs
+++ b/samphiresill-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod relay;
 pub mod responder;
 pub mod settings;
+pub mod supervisor;
 
 #[cfg(test)]
 mod tests;
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -89,6 +89,7 @@
     stream_limit: Gauge<f64>,
     revision: Gauge<u64>,
     targets: Gauge<u64>,
+    task_restarts: Counter<u64>,
 }
 
 impl Metrics {
@@ -117,6 +118,7 @@
             stream_limit: meter.f64_gauge("gateway_stream_limit").build(),
             revision: meter.u64_gauge("gateway_configuration_revision").build(),
             targets: meter.u64_gauge("gateway_targets").build(),
+            task_restarts: meter.u64_counter("gateway_task_restarts").build(),
         })
     }
 
@@ -198,6 +200,12 @@
         self.targets.record(targets as u64, &[]);
     }
 
+    /// Returns the counter of tasks that were started again.
+    #[must_use]
+    pub fn task_restarts(&self) -> Counter<u64> {
+        self.task_restarts.clone()
+    }
+
     /// Renders all instruments as the response to a scrape.
     #[must_use]
     pub fn scrape(&self) -> FullResponse {
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -85,8 +85,10 @@
     /// When the TCP address for snapshots cannot be bound.
     pub async fn start(self: &Arc<Self>, gateway: &Arc<Gateway>) -> anyhow::Result<()> {
         snapshot::start(self.own, Arc::clone(gateway)).await?;
-        let driver = driver::Driver::new(Arc::clone(gateway), Arc::clone(self));
-        tokio::spawn(driver.run());
+        let (driven, peers) = (Arc::clone(gateway), Arc::clone(self));
+        gateway.supervisor.run("peers", move || {
+            driver::Driver::new(Arc::clone(&driven), Arc::clone(&peers)).run()
+        });
         Ok(())
     }
 
--- a/samphiresill-gateway/src/tests/mod.rs
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -8,3 +8,4 @@
 mod listener;
 mod pool;
 mod settings;
+mod supervisor;
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -86,17 +86,22 @@
     let dialect = Arc::new(PlatformDialect);
     let routing_state = Arc::new(RoutingState::new(dialect.clone()));
     let store = Arc::new(Store::new(settings.store, Arc::clone(&clock)));
-    let watch = Watch::new(
+    let watch = Arc::new(Watch::new(
         Arc::clone(&store),
         Arc::clone(&routing_state),
         Arc::clone(&clock),
-    );
-    tokio::spawn(watch.run());
+    ));
     let instance_id = new_instance_id(&settings, clock.as_ref());
     let peers = Arc::new(Peers::bind(settings.listen.peers).await?);
     let gateway = Gateway::new(settings, clock, dialect, routing_state, peers, instance_id)?;
-    tokio::spawn(QuarantineTable::new(store, Arc::clone(&gateway)).run());
-    tokio::spawn(watch_settings(Arc::clone(&gateway), path, logging));
+    let quarantine = Arc::new(QuarantineTable::new(store, Arc::clone(&gateway)));
+    let supervisor = &gateway.supervisor;
+    supervisor.run("store", move || Arc::clone(&watch).run());
+    supervisor.run("quarantine", move || Arc::clone(&quarantine).run());
+    let reloaded = Arc::clone(&gateway);
+    supervisor.run("settings", move || {
+        watch_settings(Arc::clone(&reloaded), path.clone(), logging.clone())
+    });
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let stop = async move {
