Check each request head against the limit in force

The buffer of such a channel holds 64 KiB now, and each request is checked against the limit of its time.

--- a/samphiresill-gateway/src/callers/mod.rs
+++ b/samphiresill-gateway/src/callers/mod.rs
@@ -27,9 +27,10 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Timeout for a request head while no configuration is known.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Limit on the size of a request head while no configuration is known, and the lower bound of the
-/// configured limit: the smallest buffer that hyper accepts.
-const MIN_HEAD_BYTES: usize = 8_192;
+/// Lower bound of the buffer of a connection: the smallest one that hyper accepts.
+const MIN_BUFFER_BYTES: usize = 8_192;
+/// Buffer of a connection that is opened while no configuration is known, because it keeps its buffer.
+const UNCONFIGURED_BUFFER_BYTES: usize = 65_536;
 /// Fraction of the process's file descriptors that callers may use; the rest is reserved for
 /// connections to targets and peers.
 const CALLER_DESCRIPTOR_FRACTION: f64 = 0.7;
@@ -85,13 +86,14 @@
         })
     };
     let table = gateway.routing_state.table();
-    let head_bytes = table.map_or(MIN_HEAD_BYTES, |t| t.limits.head_bytes);
+    // Each request is checked against the limit of its time; the buffer only has to hold its head.
+    let buffer_bytes = table.map_or(UNCONFIGURED_BUFFER_BYTES, |t| t.limits.head_bytes);
     let stream = TrackedStream::new(stream, Arc::clone(&activity));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Hyper's timeout would also close idle connections.
         .header_read_timeout(None)
-        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
+        .max_buf_size(buffer_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = loop {
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -121,6 +121,10 @@
             NO_CONFIGURATION_RETRY_AFTER,
         ));
     };
+    if head_size(&req) > table.limits.head_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(reject(status, "the request head is too large"));
+    }
     let (route, customer) = match_route(&table, &req, &head)?;
     let Some(request) = head.request else {
         let reason = "the request has no id";
@@ -154,6 +158,16 @@
     })
 }
 
+/// Size of a request head as it was received, in bytes.
+fn head_size(req: &Request<Incoming>) -> usize {
+    const REQUEST_LINE_OVERHEAD: usize = "  HTTP/1.1\r\n".len();
+    const FIELD_OVERHEAD: usize = ": \r\n".len();
+    let target = req.uri().path_and_query().map_or(1, |p| p.as_str().len());
+    let fields = req.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_OVERHEAD);
+    req.method().as_str().len() + target + REQUEST_LINE_OVERHEAD + fields.sum::<usize>() + 2
+}
+
 fn match_route(
     table: &RoutingTable,
     req: &Request<Incoming>,
