--- a/samphiresill-platform/src/http.rs
+++ b/samphiresill-platform/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the platform.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +11,9 @@
 use crate::table::{Error, Result, Row, Table, Transaction};
 use crate::vms::Vm;
 
+/// Maximum size of a response.
+const MAX_RESPONSE_BYTES: u64 = 8 << 20;
+
 /// `PlatformClient` is a client of the platform's API that opens a new connection for each call.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
@@ -72,9 +76,17 @@
     fn call<T: DeserializeOwned>(req: RequestBuilder, body: String) -> Result<T> {
         let no_reply = |cause: String| Error::NoReply { cause };
         let response = req.text(body).send().map_err(|e| no_reply(e.to_string()))?;
-        let status = response.status().as_u16();
-        let text = response.text().map_err(|e| no_reply(e.to_string()))?;
-        match status {
+        let (status, _, reader) = response.split();
+        let mut text = String::new();
+        let mut bounded = reader.take(MAX_RESPONSE_BYTES + 1);
+        bounded
+            .read_to_string(&mut text)
+            .map_err(|e| no_reply(e.to_string()))?;
+        if text.len() as u64 > MAX_RESPONSE_BYTES {
+            let cause = format!("the response exceeds {MAX_RESPONSE_BYTES} bytes");
+            return Err(no_reply(cause));
+        }
+        match status.as_u16() {
             200 => serde_json::from_str(&text).map_err(|e| no_reply(e.to_string())),
             409 => {
                 let body: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
--- a/samphiresill/src/forward/engine.rs
+++ b/samphiresill/src/forward/engine.rs
@@ -1,8 +1,10 @@
 //! Client of the model engines. Responses are streams of numbered server-sent events; the numbers
 //! allow a stream to be resumed.
 
+use std::cell::Cell;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use attohttpc::{Method, RequestBuilder};
@@ -21,6 +23,8 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Capacity of the queue between the reader thread and the consumer.
 const EVENT_QUEUE_CAPACITY: usize = 64;
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Size of the read buffer, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 /// Request header with the attempt ID.
@@ -117,8 +121,11 @@
         _ => return StreamEvent::Failed(FailurePoint::RefusedByTarget),
     }
     let (_, _, reader) = response.split();
-    for event in block_on_stream(stream::iter(chunks(reader)).eventsource()) {
+    let pending = Rc::new(Cell::new(0));
+    let chunks = chunks(reader, Rc::clone(&pending));
+    for event in block_on_stream(stream::iter(chunks).eventsource()) {
         let Ok(event) = event else { break };
+        pending.set(0);
         if event.data == "[DONE]" {
             return StreamEvent::Done;
         }
@@ -130,12 +137,25 @@
     StreamEvent::Failed(FailurePoint::DuringAnswer)
 }
 
-fn chunks(mut reader: impl Read) -> impl Iterator<Item = std::io::Result<Bytes>> {
+/// Returns the pieces of a body. It ends early when an event exceeds the maximum size; `pending` counts
+/// the bytes since the last event.
+fn chunks(
+    mut reader: impl Read,
+    pending: Rc<Cell<usize>>,
+) -> impl Iterator<Item = std::io::Result<Bytes>> {
     let mut buf = vec![0; READ_BYTES];
-    std::iter::from_fn(move || match reader.read(&mut buf) {
-        Ok(0) => None,
-        Ok(n) => Some(Ok(Bytes::copy_from_slice(&buf[..n]))),
-        Err(e) => Some(Err(e)),
+    std::iter::from_fn(move || {
+        if pending.get() > MAX_EVENT_BYTES {
+            return None;
+        }
+        match reader.read(&mut buf) {
+            Ok(0) => None,
+            Ok(n) => {
+                pending.set(pending.get() + n);
+                Some(Ok(Bytes::copy_from_slice(&buf[..n])))
+            }
+            Err(e) => Some(Err(e)),
+        }
     })
 }
 
