--- a/samphiresill-gateway/src/connection/call.rs
+++ b/samphiresill-gateway/src/connection/call.rs
@@ -20,8 +20,8 @@
 /// Sends a GET request and returns the response with its complete body.
 ///
 /// # Errors
-/// As for a [`super::Connection`]; `InvalidPath`; `Truncated` when the body ends prematurely or is too large;
-/// `Timeout` when the response is not complete within `timeout`.
+/// As for a [`super::Connection`]; `InvalidPath`; `Truncated` when the body ends prematurely or is too
+/// large; `Timeout` when the response is not complete within `timeout`.
 pub async fn get(
     pool: &Pool,
     address: SocketAddr,
--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -254,8 +254,8 @@
     }
 
     /// Returns the part or the whole request that the evidence convicts, if any, and removes the
-    /// crashes that it explains. One on probation is convicted by one crash. Without a number of
-    /// `engines`, whole requests are convicted more slowly.
+    /// crashes that it explains. One on probation is convicted by one crash. The fewer `engines` there
+    /// are, the more crashes of a whole request does chance explain.
     pub fn convict(
         &mut self,
         is_on_probation: impl Fn(u64) -> bool,
