Split long files: cases of crashes, idle limits, the log of targets

Change: the cases and the grouping of crashes, the limits on idle connections and the log of target changes move to files of their own; nothing else changes.

--- a/samphiresill-gateway/src/connection/pool.rs
+++ b/samphiresill-gateway/src/connection/pool.rs
@@ -11,6 +11,7 @@
 use hyper::HeaderMap;
 use hyper::header::{CONNECTION, HeaderName};
 use samphiresill_core::clock::Clock;
+use samphiresill_core::routing::{RoutingTable, TargetEntry};
 
 use super::{Connection, Error};
 
@@ -134,3 +135,20 @@
     let (_, seconds) = fields.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
+
+/// This router's share of the idle connections that each target allows: the connections that the
+/// target accepts, less those that its slots use.
+#[must_use]
+pub fn idle_limits(
+    targets: &[TargetEntry],
+    table: &RoutingTable,
+    routers: usize,
+) -> BTreeMap<SocketAddr, usize> {
+    let limit = |t: &TargetEntry| {
+        let service = table.services.get(&t.service);
+        let accepted = service.map_or(0, |s| s.max_connections);
+        let spare = accepted.saturating_sub(t.slots) as usize;
+        (t.address, (spare / routers).max(1))
+    };
+    targets.iter().map(limit).collect()
+}
--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -1,7 +1,6 @@
 //! The shared state of a gateway, and its life cycle from start to graceful shutdown.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,8 +9,8 @@
 use hyper::StatusCode;
 use samphiresill_attempt::budget::{self, RetryBudgets};
 use samphiresill_core::clock::Clock;
-use samphiresill_core::name::{DomainName, ServiceName, TargetName};
-use samphiresill_core::routing::{RoutingTable, TargetEntry, TargetState};
+use samphiresill_core::name::{DomainName, ServiceName};
+use samphiresill_core::routing::TargetEntry;
 use samphiresill_sched::fleet::load::FleetLoad;
 use samphiresill_sched::fleet::overload::StreamLimiter;
 use samphiresill_sched::fleet::quarantine::Notice;
@@ -19,10 +18,10 @@
 
 use crate::body_budget::BodyBudget;
 use crate::callers;
-use crate::connection::pool::Pool;
+use crate::connection::pool::{self, Pool};
 use crate::crash_probe::CrashProbes;
 use crate::dialect::Dialect;
-use crate::knowledge::RoutingState;
+use crate::knowledge::{RoutingState, target_log};
 use crate::log_budget::LogBudget;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -273,7 +272,7 @@
     fn update_idle_limits(&self, targets: &[TargetEntry]) {
         if let Some(table) = self.routing_state.table() {
             let routers = self.router_count.load(Ordering::Relaxed);
-            let max_idle = idle_limits(targets, &table, routers);
+            let max_idle = pool::idle_limits(targets, &table, routers);
             self.target_pool.set_max_idle(max_idle);
         }
     }
@@ -363,7 +362,7 @@
         loop {
             if let Some(table) = self.routing_state.table() {
                 let targets = self.routing_state.targets();
-                log_target_changes(&mut known, &targets);
+                target_log::log_changes(&mut known, &targets);
                 self.fleet_load().set_targets(&targets, &table);
                 self.metrics
                     .record_routing_state(table.revision, targets.len());
@@ -383,40 +382,3 @@
         }
     }
 }
-
-/// This router's share of the idle connections that each target allows: the connections that the
-/// target accepts, less those that its slots use.
-fn idle_limits(
-    targets: &[TargetEntry],
-    table: &RoutingTable,
-    routers: usize,
-) -> BTreeMap<SocketAddr, usize> {
-    let limit = |t: &TargetEntry| {
-        let service = table.services.get(&t.service);
-        let accepted = service.map_or(0, |s| s.max_connections);
-        let spare = accepted.saturating_sub(t.slots) as usize;
-        (t.address, (spare / routers).max(1))
-    };
-    targets.iter().map(limit).collect()
-}
-
-/// Logs targets that were added, changed state or were removed. Targets that are known at the start
-/// are not logged.
-fn log_target_changes(known: &mut BTreeMap<TargetName, TargetState>, targets: &[TargetEntry]) {
-    let now: BTreeMap<TargetName, TargetState> =
-        targets.iter().map(|t| (t.name.clone(), t.state)).collect();
-    let is_start = known.is_empty();
-    for target in targets {
-        let before = known.insert(target.name.clone(), target.state);
-        if before != Some(target.state) && !is_start {
-            log::info!(target:% = target.name, service:% = target.service, state:? = target.state; "target listed");
-        }
-    }
-    known.retain(|name, _| {
-        let is_listed = now.contains_key(name);
-        if !is_listed {
-            log::info!(target:% = name; "target removed");
-        }
-        is_listed
-    });
-}
--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -4,6 +4,7 @@
 //! Invariants: neither the revision in force nor the version of the directory ever decreases.
 
 pub mod directory;
+pub mod target_log;
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/samphiresill-sched/src/fleet/quarantine/evidence.rs
+++ b/samphiresill-sched/src/fleet/quarantine/evidence.rs
@@ -6,7 +6,7 @@
 //! moment count only where the part ran in most of them, and never alone: targets of one rack or
 //! failure domain fail together, whatever runs there.
 //!
-//! Invariants: at most [`MAX_CRASHES`] crashes with [`MAX_SUSPECTS`] parts each are kept, and
+//! Invariants: at most [`MAX_CRASHES`] crashes with [`case::MAX_SUSPECTS`] parts each are kept, and
 //! [`MAX_ANSWERED`] answered parts.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -15,14 +15,11 @@
 use samphiresill_core::name::TargetName;
 use serde::{Deserialize, Serialize};
 
+use super::case::{self, Case, Crash, FIRM_CRASHES};
 use super::whole::{self, Background};
 
 /// Crashes without which no part is convicted.
 const MIN_CRASHES: usize = 3;
-/// Crashes after which a part is convicted although the evidence is ambiguous: others ran in all of
-/// them too, it had been answered before, a single target crashed again and again, or most runs end
-/// in crashes.
-const FIRM_CRASHES: usize = 5;
 /// Fraction of the crashes since its first one that a part has to explain to be convicted after more
 /// than [`FIRM_CRASHES`], whatever chance explains.
 const MOST: f64 = 0.75;
@@ -36,8 +33,6 @@
 const SETTLING_TIME: Duration = Duration::from_millis(150);
 /// Time within which reports about one target are about one crash: a target takes seconds to start.
 const MERGE_WINDOW: Duration = Duration::from_secs(1);
-/// Time within which crashes count as simultaneous: their reports take tens of milliseconds.
-const SIMULTANEOUS_TIME: Duration = Duration::from_millis(60);
 /// Time after a crash in which answers clear most of its suspects.
 const CLEARING_TIME: Duration = Duration::from_secs(1);
 /// Time for which a crash is kept.
@@ -50,8 +45,6 @@
 const PRIOR_RUNS: f64 = 10.0;
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 48;
-/// Maximum number of parts that are kept of a crash.
-const MAX_SUSPECTS: usize = 512;
 /// Maximum number of answered parts that are remembered.
 const MAX_ANSWERED: usize = 4_096;
 
@@ -86,34 +79,6 @@
     pub suspects: Vec<Suspect>,
 }
 
-#[derive(Debug)]
-struct Crash {
-    target: TargetName,
-    at: Duration,
-    /// Depths in the prompt, by part.
-    suspects: BTreeMap<u64, u8>,
-}
-
-/// `Case` is the evidence against one part, or one whole request.
-#[derive(Debug)]
-pub(super) struct Case {
-    part: u64,
-    depth: u8,
-    pub(super) crashes: usize,
-    pub(super) targets: usize,
-    crashed_at: Duration,
-    /// Groups of simultaneous crashes since its first one, and those that it explains.
-    groups: usize,
-    pub(super) explained_groups: usize,
-    was_answered: bool,
-}
-
-impl Case {
-    fn is_whole(&self) -> bool {
-        self.depth == whole::DEPTH
-    }
-}
-
 /// `CrashEvidence` is what one router knows about crashes of targets.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
@@ -298,7 +263,7 @@
         let settled = self.settled(now);
         let is_recent = |c: &&&Crash| now.saturating_sub(c.at) <= whole::OBSERVATION_TIME;
         let recent: Vec<&Crash> = settled.iter().filter(is_recent).copied().collect();
-        let groups = simultaneous(&recent).into_iter();
+        let groups = case::simultaneous(&recent).into_iter();
         let others = groups.filter(|g| g.iter().all(|c| !c.suspects.contains_key(&case.part)));
         let background = Background {
             crashes: others.count(),
@@ -317,7 +282,7 @@
         let (wholes, parts): (Vec<&Case>, Vec<&Case>) = cases.iter().partition(|c| c.is_whole());
         let unanswered = wholes.iter().filter(|c| !c.was_answered);
         let by_whole = unanswered.map(|c| c.crashes).max().unwrap_or(0);
-        let case = leader(&parts)?;
+        let case = case::leader(&parts)?;
         let is_firm = case.crashes >= FIRM_CRASHES;
         let is_proven = (is_firm || case.crashes > by_whole) && self.is_proven(case, by_whole);
         is_proven.then_some(case)
@@ -363,11 +328,11 @@
     /// Returns the evidence against each part, from the crashes that all routers have reported.
     fn cases(&self, now: Duration) -> Vec<Case> {
         let settled = self.settled(now);
-        let groups = simultaneous(&settled);
+        let groups = case::simultaneous(&settled);
         let mut cases: BTreeMap<u64, Case> = BTreeMap::new();
         let mut targets: BTreeMap<u64, BTreeSet<&TargetName>> = BTreeMap::new();
         for (index, group) in groups.iter().enumerate() {
-            for (part, (depth, crashes)) in parts_of(group) {
+            for (part, (depth, crashes)) in case::parts_of(group) {
                 if crashes.len() * 2 < group.len() {
                     continue;
                 }
@@ -399,57 +364,3 @@
         self.counted_at = now;
     }
 }
-
-impl Crash {
-    fn add(&mut self, suspects: &[Suspect]) {
-        for suspect in suspects {
-            if self.suspects.len() >= MAX_SUSPECTS {
-                return;
-            }
-            self.suspects.insert(suspect.part, suspect.depth);
-        }
-    }
-}
-
-/// Returns the part that ran in more crashes than any other; among several, the one that was never
-/// answered. `None` while the evidence does not tell them apart.
-fn leader<'a>(cases: &[&'a Case]) -> Option<&'a Case> {
-    let most = cases.iter().map(|c| c.crashes).max()?;
-    let is_firm = most >= FIRM_CRASHES;
-    let leaders = || cases.iter().copied().filter(|c| c.crashes == most);
-    let unanswered = || leaders().filter(|c| !c.was_answered);
-    match (unanswered().count(), leaders().count()) {
-        (1, _) => unanswered().next(),
-        (0, 1) if is_firm => leaders().next(),
-        // Among parts that always come together, the deepest one is in the fewest prompts.
-        (2.., _) if is_firm => unanswered().max_by_key(|c| c.depth),
-        _ => None,
-    }
-}
-
-/// Groups crashes by the time since the first one of the group. A group does not grow with further
-/// crashes, so that a storm without pauses has many.
-fn simultaneous<'a, 'b>(crashes: &'b [&'a Crash]) -> Vec<&'b [&'a Crash]> {
-    let mut groups = Vec::new();
-    let mut rest = crashes;
-    while let Some(first) = rest.first() {
-        let is_in_group = |c: &&Crash| c.at.saturating_sub(first.at) <= SIMULTANEOUS_TIME;
-        let count = rest.iter().take_while(|c| is_in_group(c)).count();
-        let (group, others) = rest.split_at(count);
-        groups.push(group);
-        rest = others;
-    }
-    groups
-}
-
-/// Returns the parts that ran in a group of crashes, with their depths and these crashes.
-fn parts_of<'a>(group: &[&'a Crash]) -> BTreeMap<u64, (u8, Vec<&'a Crash>)> {
-    let mut parts: BTreeMap<u64, (u8, Vec<&Crash>)> = BTreeMap::new();
-    for crash in group {
-        for (part, depth) in &crash.suspects {
-            let (_, crashes) = parts.entry(*part).or_insert((*depth, Vec::new()));
-            crashes.push(crash);
-        }
-    }
-    parts
-}
--- a/samphiresill-sched/src/fleet/quarantine/mod.rs
+++ b/samphiresill-sched/src/fleet/quarantine/mod.rs
@@ -9,6 +9,7 @@
 //! Invariants: at most [`MAX_ENTRIES`] parts are listed; of two notices about a part, the one with
 //! the higher revision holds, on all routers.
 
+mod case;
 pub mod evidence;
 pub mod whole;
 
--- a/samphiresill-sched/src/fleet/quarantine/whole.rs
+++ b/samphiresill-sched/src/fleet/quarantine/whole.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::evidence::Case;
+use super::case::Case;
 
 /// Depth of a suspect that stands for a whole request.
 pub const DEPTH: u8 = u8::MAX;
