Split target selection by kind of service, with a place for evacuations

Change: eligibility, selection of an engine and of a plain target in files of their own; evacuated failure domains are a part of eligibility, though nothing sets them yet. No change of behaviour.

--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -5,9 +5,14 @@
 //!
 //! Invariant: a run is counted on at most one target, and only until its end is known.
 
+mod cold_start;
 mod crashes;
 mod directives;
+mod eligibility;
+mod evacuation;
 pub mod place;
+mod place_engine;
+mod place_plain;
 mod target;
 mod unavailable;
 
@@ -15,7 +20,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use samphiresill_core::name::{CustomerName, ServiceName, TargetName};
+use samphiresill_core::name::{CustomerName, DomainName, ServiceName, TargetName};
 use samphiresill_core::routing::{RoutingTable, TargetEntry};
 use serde::{Deserialize, Serialize};
 
@@ -81,6 +86,8 @@
     crash_evidence: CrashEvidence,
     quarantine: Quarantine,
     directives: Directives,
+    /// Failure domains whose targets get no requests.
+    evacuated: BTreeSet<DomainName>,
     /// Events to send to the other routers.
     outbox: Vec<Event>,
 }
@@ -104,6 +111,7 @@
             crash_evidence: CrashEvidence::default(),
             quarantine: Quarantine::default(),
             directives: Directives::default(),
+            evacuated: BTreeSet::new(),
             outbox: Vec::new(),
         }
     }
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use samphiresill_core::name::{CustomerName, DomainName, TargetName};
-use samphiresill_core::routing::{TargetEntry, TargetState};
+use samphiresill_core::routing::TargetEntry;
 
-use super::target::{Target, TargetLoad};
 use super::unavailable::Unavailable;
 use super::{FleetLoad, Placement, started_event};
 use crate::fleet::admission::{self, Candidate, Reason, Refusal};
@@ -15,30 +14,20 @@
 use crate::fleet::event::Event;
 use crate::fleet::request::{Generation, PlacementRequest, RunId};
 
-/// Additional cost of the prefill, as a multiple of its time: it also slows the running streams and
-/// evicts cached parts.
-const PREFILL_INTERFERENCE: f64 = 1.0;
-/// Cost of each running request, in milliseconds: it lengthens every decode step of a response.
-const COST_PER_RUN_MS: f64 = 4.0;
-/// Cost of an engine whose token interval equals the target, in milliseconds; proportional for
-/// other intervals.
-const TOKEN_INTERVAL_COST_MS: f64 = 100.0;
 /// Cost of a target in another failure domain, in milliseconds: the round trip and the transferred
 /// bytes.
 const CROSS_DOMAIN_COST_MS: f64 = 4.0;
-/// Targets of a service for each one that may be ejected for a high failure rate.
-const TARGETS_PER_EJECTION: usize = 3;
 
 /// `Choice` is the target with the lowest cost of a request.
-struct Choice {
-    name: TargetName,
-    address: SocketAddr,
-    expected: Duration,
-    estimate: Option<Estimate>,
-    copy_from: Option<SocketAddr>,
+pub(super) struct Choice {
+    pub(super) name: TargetName,
+    pub(super) address: SocketAddr,
+    pub(super) expected: Duration,
+    pub(super) estimate: Option<Estimate>,
+    pub(super) copy_from: Option<SocketAddr>,
     /// Total prefill rate of the engines of the service that can get the request, in tokens per
     /// millisecond.
-    total_prefill_rate: f64,
+    pub(super) total_prefill_rate: f64,
 }
 
 impl FleetLoad {
@@ -187,152 +176,13 @@
         }
     }
 
-    /// Returns the engine with the lowest cost of a request.
-    fn best_engine(
-        &self,
-        req: &PlacementRequest<'_>,
-        generation: &Generation,
-        claim: Claim,
-        now: Duration,
-    ) -> Result<Choice, Unavailable> {
-        let mut unavailable = Unavailable::from(Reason::NoTarget);
-        let mut best: Option<(f64, &Target, Estimate)> = None;
-        let mut total_prefill_rate = 0.0;
-        let copy_source = self.copy_source(req, generation, now);
-        let cached_elsewhere = copy_source.map_or(0, |(_, tokens)| tokens);
-        for target in self.candidates(req, now) {
-            let TargetLoad::Engine(load) = &target.load else {
-                continue;
-            };
-            total_prefill_rate += load.prefill_rate();
-            if !load.has_capacity(generation) {
-                unavailable.full();
-                continue;
-            }
-            let wait = self.directives.limit_wait(&target.entry.name, claim, now);
-            if !wait.is_zero() {
-                unavailable.limited(wait);
-                continue;
-            }
-            let estimate = load.estimate(generation, cached_elsewhere, now);
-            let cost = engine_cost(&estimate, self.token_interval.ms())
-                + domain_cost_ms(req.domain, &target.entry);
-            if best.as_ref().is_none_or(|(lowest, _, _)| cost < *lowest) {
-                best = Some((cost, target, estimate));
-            }
-        }
-        let (_, target, estimate) = best.ok_or(unavailable)?;
-        let source = copy_source.filter(|_| estimate.copied_tokens > 0);
-        Ok(Choice {
-            name: target.entry.name.clone(),
-            address: target.entry.address,
-            expected: estimate.first_event(),
-            estimate: Some(estimate),
-            copy_from: source.map(|(address, _)| address),
-            total_prefill_rate,
-        })
+    /// Returns the time until the limits of a target allow a request; zero when they do so now.
+    pub(super) fn rate_wait(&self, target: &TargetName, claim: Claim, now: Duration) -> Duration {
+        self.directives.limit_wait(target, claim, now)
     }
-
-    /// Returns the engine with the longest copyable prefix of a prompt, and its length in tokens.
-    fn copy_source(
-        &self,
-        req: &PlacementRequest<'_>,
-        generation: &Generation,
-        now: Duration,
-    ) -> Option<(SocketAddr, u32)> {
-        let engines = self.targets.values().filter_map(|t| match &t.load {
-            TargetLoad::Engine(load)
-                if t.entry.service == *req.service && t.health.is_usable(now) =>
-            {
-                Some((t.entry.address, load.copyable_tokens(generation, now)))
-            }
-            _ => None,
-        });
-        engines
-            .filter(|(_, tokens)| *tokens > 0)
-            .max_by_key(|(_, tokens)| *tokens)
-    }
-
-    fn choose_plain(
-        &self,
-        req: &PlacementRequest<'_>,
-        jitter: f64,
-        now: Duration,
-    ) -> Result<Choice, Refusal> {
-        let claim = Claim::new(false, jitter);
-        let mut unavailable = Unavailable::from(Reason::NoTarget);
-        let costs = self.candidates(req, now).filter_map(|target| {
-            let TargetLoad::Plain(load) = &target.load else {
-                return None;
-            };
-            let wait = self.directives.limit_wait(&target.entry.name, claim, now);
-            if !wait.is_zero() {
-                unavailable.limited(wait);
-                return None;
-            }
-            let expected = load.expected_latency();
-            let cost = expected.as_secs_f64() * 1_000.0 + domain_cost_ms(req.domain, &target.entry);
-            Some((cost, target, expected, load.has_free_slot()))
-        });
-        let Some((_, target, expected, has_free_slot)) = costs.min_by(|a, b| a.0.total_cmp(&b.0))
-        else {
-            return Err(unavailable.refusal(req, jitter));
-        };
-        if expected > req.time_left && !has_free_slot {
-            let retry_after = admission::retry_after(expected, req.time_left, jitter);
-            return Err(Refusal::new(Reason::Wait, retry_after));
-        }
-        Ok(Choice {
-            name: target.entry.name.clone(),
-            address: target.entry.address,
-            expected,
-            estimate: None,
-            copy_from: None,
-            total_prefill_rate: 0.0,
-        })
-    }
-
-    /// Returns the targets that may get the request: the usable ones, or all eligible ones when
-    /// none is usable.
-    fn candidates<'a>(
-        &'a self,
-        req: &'a PlacementRequest<'_>,
-        now: Duration,
-    ) -> impl Iterator<Item = &'a Target> {
-        let is_eligible = move |target: &&Target| {
-            target.entry.service == *req.service
-                && target.entry.state == TargetState::Ready
-                && !req.tried.contains(&target.entry.name)
-                && !req.avoided.contains(&target.entry.name)
-                && !self.directives.leaving().contains(&target.entry)
-        };
-        let eligible = || self.targets.values().filter(is_eligible);
-        let failing = eligible().filter(|t| t.health.is_failing(now)).count();
-        // When many targets fail, the requests are the cause, or no other target would do better.
-        let ignores_failures = failing * TARGETS_PER_EJECTION > eligible().count();
-        let is_usable = move |target: &Target| {
-            let health = target.health;
-            health.is_reachable(now) && (ignores_failures || !health.is_failing(now))
-        };
-        let is_any_usable = eligible().any(is_usable);
-        self.targets
-            .values()
-            .filter(is_eligible)
-            .filter(move |t| !is_any_usable || is_usable(t))
-    }
-}
-
-/// Returns the cost of a request on an engine, including its effect on other requests, in
-/// milliseconds of engine time.
-fn engine_cost(estimate: &Estimate, interval_target_ms: f64) -> f64 {
-    let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
-    ms(estimate.wait)
-        + ms(estimate.prefill_time) * (1.0 + PREFILL_INTERFERENCE)
-        + COST_PER_RUN_MS * estimate.runs as f64
-        + TOKEN_INTERVAL_COST_MS * estimate.token_interval_ms / interval_target_ms
 }
 
-fn domain_cost_ms(domain: &DomainName, entry: &TargetEntry) -> f64 {
+pub(super) fn domain_cost_ms(domain: &DomainName, entry: &TargetEntry) -> f64 {
     if *domain == entry.domain {
         0.0
     } else {
--- /dev/null
+++ b/samphiresill-sched/src/fleet/load/place_engine.rs
@@ -0,0 +1,100 @@
+//! Selection of a model engine for a request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::FleetLoad;
+use super::place::{self, Choice};
+use super::target::{Target, TargetLoad};
+use super::unavailable::Unavailable;
+use crate::fleet::admission::Reason;
+use crate::fleet::directive::rate_limit::Claim;
+use crate::fleet::engine::Estimate;
+use crate::fleet::request::{Generation, PlacementRequest};
+
+/// Additional cost of the prefill, as a multiple of its time: it also slows the running streams and
+/// evicts cached parts.
+const PREFILL_INTERFERENCE: f64 = 1.0;
+/// Cost of each running request, in milliseconds: it lengthens every decode step of a response.
+const COST_PER_RUN_MS: f64 = 4.0;
+/// Cost of an engine whose token interval equals the target, in milliseconds; proportional for
+/// other intervals.
+const TOKEN_INTERVAL_COST_MS: f64 = 100.0;
+
+impl FleetLoad {
+    /// Returns the engine with the lowest cost of a request.
+    pub(super) fn best_engine(
+        &self,
+        req: &PlacementRequest<'_>,
+        generation: &Generation,
+        claim: Claim,
+        now: Duration,
+    ) -> Result<Choice, Unavailable> {
+        let mut unavailable = Unavailable::from(Reason::NoTarget);
+        let mut best: Option<(f64, &Target, Estimate)> = None;
+        let mut total_prefill_rate = 0.0;
+        let copy_source = self.copy_source(req, generation, now);
+        let cached_elsewhere = copy_source.map_or(0, |(_, tokens)| tokens);
+        for target in self.candidates(req, now) {
+            let TargetLoad::Engine(load) = &target.load else {
+                continue;
+            };
+            total_prefill_rate += load.prefill_rate();
+            if !load.has_capacity(generation) {
+                unavailable.full();
+                continue;
+            }
+            let wait = self.rate_wait(&target.entry.name, claim, now);
+            if !wait.is_zero() {
+                unavailable.limited(wait);
+                continue;
+            }
+            let estimate = load.estimate(generation, cached_elsewhere, now);
+            let cost = engine_cost(&estimate, self.token_interval.ms())
+                + place::domain_cost_ms(req.domain, &target.entry);
+            if best.as_ref().is_none_or(|(lowest, _, _)| cost < *lowest) {
+                best = Some((cost, target, estimate));
+            }
+        }
+        let (_, target, estimate) = best.ok_or(unavailable)?;
+        let source = copy_source.filter(|_| estimate.copied_tokens > 0);
+        Ok(Choice {
+            name: target.entry.name.clone(),
+            address: target.entry.address,
+            expected: estimate.first_event(),
+            estimate: Some(estimate),
+            copy_from: source.map(|(address, _)| address),
+            total_prefill_rate,
+        })
+    }
+
+    /// Returns the engine with the longest copyable prefix of a prompt, and its length in tokens.
+    fn copy_source(
+        &self,
+        req: &PlacementRequest<'_>,
+        generation: &Generation,
+        now: Duration,
+    ) -> Option<(SocketAddr, u32)> {
+        let engines = self.targets.values().filter_map(|t| match &t.load {
+            TargetLoad::Engine(load)
+                if t.entry.service == *req.service && t.health.is_usable(now) =>
+            {
+                Some((t.entry.address, load.copyable_tokens(generation, now)))
+            }
+            _ => None,
+        });
+        engines
+            .filter(|(_, tokens)| *tokens > 0)
+            .max_by_key(|(_, tokens)| *tokens)
+    }
+}
+
+/// Returns the cost of a request on an engine, including its effect on other requests, in
+/// milliseconds of engine time.
+fn engine_cost(estimate: &Estimate, interval_target_ms: f64) -> f64 {
+    let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
+    ms(estimate.wait)
+        + ms(estimate.prefill_time) * (1.0 + PREFILL_INTERFERENCE)
+        + COST_PER_RUN_MS * estimate.runs as f64
+        + TOKEN_INTERVAL_COST_MS * estimate.token_interval_ms / interval_target_ms
+}
