Take the targets of an evacuated failure domain out of service

Gateways did not read the rows evacuate/ZONE of the operators' table, so that requests reached an evacuated failure domain during the whole evacuation.

The newest row of each failure domain is kept with its version, and removals as tombstones; all load frames carry the rows after the answers of the store. A gateway that starts fetches them before its first configuration. Each change of the set is applied to the fleet load.

A set that does not fit into a datagram is sent in parts, the newest rows first. Sending it only with heartbeats was ruled out: frames with events take their place between schedulers.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -355,11 +355,16 @@
             .run(name, move || task(Arc::clone(&gateway)));
     }
 
-    /// Applies each change of the configuration and the targets to the fleet load.
+    /// Applies each change of the configuration, the targets and the evacuations to the fleet load.
     async fn apply_state_changes(self: Arc<Self>) {
         let mut changes = self.routing_state.subscribe();
         let mut known = BTreeMap::new();
         loop {
+            // Set before the targets, so that none of an evacuated failure domain gets a request.
+            let evacuated = self.routing_state.evacuated();
+            self.metrics.record_evacuated_domains(evacuated.len());
+            let now = self.clock.monotonic();
+            self.fleet_load().set_evacuated(evacuated, now);
             if let Some(table) = self.routing_state.table() {
                 let targets = self.routing_state.targets();
                 target_log::log_changes(&mut known, &targets);
--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -1,23 +1,27 @@
-//! The routing state of a router: the configuration and the directory of targets, received from the
-//! store or from peers.
+//! The routing state of a router: the configuration, the directory of targets and the evacuations,
+//! received from the store or from peers.
 //!
 //! Invariants: neither the revision in force nor the version of the directory ever decreases.
 
 pub mod directory;
+pub mod evacuations;
 pub mod target_log;
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
+use samphiresill_core::name::DomainName;
 use samphiresill_core::routing::{RoutingTable, TargetEntry};
 use samphiresill_member::store_watch::PollTurn;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use self::directory::{Change, Directory, Update};
+use self::evacuations::Evacuations;
 use crate::dialect::Dialect;
 
 /// Age up to which the store's newest answer to a peer shows that the store is available: the interval
@@ -49,6 +53,7 @@
     table: ArcSwapOption<RoutingTable>,
     document: Mutex<Bytes>,
     directory: Mutex<Directory>,
+    evacuations: Mutex<Evacuations>,
     changed: watch::Sender<()>,
     watching: watch::Sender<WatchState>,
     /// Monotonic time in milliseconds of the store's newest known answer to a peer; 0 when there was
@@ -65,6 +70,7 @@
             table: ArcSwapOption::empty(),
             document: Mutex::default(),
             directory: Mutex::default(),
+            evacuations: Mutex::default(),
             changed: watch::channel(()).0,
             watching: watch::channel(WatchState::default()).0,
             peer_answered_at_ms: AtomicU64::new(0),
@@ -238,6 +244,45 @@
         directory.rows().filter_map(|c| c.entry.clone()).collect()
     }
 
+    /// Applies rows about evacuations from the store or a peer; older ones than the known are ignored.
+    pub fn apply_evacuations(&self, rows: Vec<evacuations::Row>, source: &str, now: Duration) {
+        if !rows.is_empty() && lock(&self.evacuations).apply(rows, source, now) {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Applies all evacuations in the store as of `version`; failure domains that are not listed are
+    /// back in service.
+    pub fn replace_evacuations(&self, listed: Vec<evacuations::Row>, version: u64, now: Duration) {
+        if lock(&self.evacuations).replace(listed, version, "store", now) {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// The evacuated failure domains.
+    #[must_use]
+    pub fn evacuated(&self) -> BTreeSet<DomainName> {
+        lock(&self.evacuations).evacuated()
+    }
+
+    /// All rows about evacuations, including those of failure domains that are back in service.
+    #[must_use]
+    pub fn evacuations(&self) -> Vec<evacuations::Row> {
+        lock(&self.evacuations).rows().collect()
+    }
+
+    /// Highest version of an evacuation or its end; 0 when none is known.
+    #[must_use]
+    pub fn evacuations_version(&self) -> u64 {
+        lock(&self.evacuations).version()
+    }
+
+    /// Returns the rows about evacuations for the next datagram to peers.
+    #[must_use]
+    pub fn next_evacuations(&self, max_bytes: usize) -> Vec<evacuations::Row> {
+        lock(&self.evacuations).next_part(max_bytes)
+    }
+
     /// Returns the encoded configuration as it was received.
     #[must_use]
     pub fn document(&self) -> Bytes {
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -89,6 +89,7 @@
     stream_limit: Gauge<f64>,
     revision: Gauge<u64>,
     targets: Gauge<u64>,
+    evacuated_domains: Gauge<u64>,
     task_restarts: Counter<u64>,
 }
 
@@ -118,6 +119,7 @@
             stream_limit: meter.f64_gauge("gateway_stream_limit").build(),
             revision: meter.u64_gauge("gateway_configuration_revision").build(),
             targets: meter.u64_gauge("gateway_targets").build(),
+            evacuated_domains: meter.u64_gauge("gateway_evacuated_domains").build(),
             task_restarts: meter.u64_counter("gateway_task_restarts").build(),
         })
     }
@@ -200,6 +202,11 @@
         self.targets.record(targets as u64, &[]);
     }
 
+    /// Records the number of failure domains whose targets get no requests.
+    pub fn record_evacuated_domains(&self, domains: usize) {
+        self.evacuated_domains.record(domains as u64, &[]);
+    }
+
     /// Returns the counter of tasks that were started again.
     #[must_use]
     pub fn task_restarts(&self) -> Counter<u64> {
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -13,6 +13,7 @@
 
 use crate::knowledge::Versions;
 use crate::knowledge::directory::Update;
+use crate::knowledge::evacuations;
 
 /// Maximum size of a datagram; larger ones would be fragmented on most links.
 pub const MAX_BYTES: usize = 1_400;
@@ -61,6 +62,9 @@
     /// know them ignore them.
     #[serde(skip)]
     pub answers: StoreAnswers,
+    /// Evacuations and their ends. They follow the answers in the datagram.
+    #[serde(skip)]
+    pub evacuations: Vec<evacuations::Row>,
 }
 
 /// `StoreAnswers` are the ages of the store's newest answers when a frame was sent, in milliseconds.
@@ -156,12 +160,17 @@
     /// When the encoder fails, which it does not for the types in a frame.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = postcard::to_stdvec(self)?;
-        match self {
-            Self::Load(load) if load.answers != StoreAnswers::default() => {
-                postcard::to_extend(&load.answers, bytes)
+        let Self::Load(load) = self else {
+            return Ok(bytes);
+        };
+        if load.evacuations.is_empty() {
+            if load.answers == StoreAnswers::default() {
+                return Ok(bytes);
             }
-            _ => Ok(bytes),
+            return postcard::to_extend(&load.answers, bytes);
         }
+        let bytes = postcard::to_extend(&load.answers, bytes)?;
+        postcard::to_extend(&load.evacuations, bytes)
     }
 
     /// Decodes a frame.
@@ -173,7 +182,11 @@
         if let Self::Load(load) = &mut frame
             && !rest.is_empty()
         {
-            load.answers = postcard::from_bytes(rest)?;
+            let (answers, rest) = postcard::take_from_bytes(rest)?;
+            load.answers = answers;
+            if !rest.is_empty() {
+                load.evacuations = postcard::from_bytes(rest)?;
+            }
         }
         Ok(frame)
     }
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -10,7 +10,7 @@
 use super::driver::{Driver, HEARTBEAT_INTERVAL};
 use super::frame::{Frame, LoadFrame, MAX_BYTES};
 use super::snapshot;
-use crate::knowledge::Versions;
+use crate::knowledge::{Versions, evacuations};
 
 /// Interval between lists of all active runs.
 const RUN_LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -19,6 +19,9 @@
 const FETCH_DELAY: Duration = Duration::from_millis(300);
 /// Maximum size of the directory changes in one datagram.
 const MAX_UPDATE_BYTES: usize = 1_100;
+/// Maximum size of the rows about evacuations in one datagram, so that it also holds directory changes.
+/// It holds all rows of 15 failure domains with short names.
+const MAX_EVACUATION_BYTES: usize = 230;
 /// Maximum number of datagrams with directory changes sent at once; receivers fetch larger updates.
 const MAX_UPDATE_PARTS: usize = 8;
 /// Maximum number of runs listed in one datagram.
@@ -32,6 +35,8 @@
         let before = self.origins.insert(from, frame.origin);
         let is_parent = self.peers.parents().contains(&from);
         self.receive_answers(&frame, is_parent, now);
+        let routing_state = &self.gateway.routing_state;
+        routing_state.apply_evacuations(frame.evacuations, "peer", now);
         if is_parent {
             self.store_watch.record_parent(now);
         }
@@ -191,6 +196,10 @@
             versions: self.gateway.routing_state.versions(),
             is_watching: self.gateway.routing_state.is_watching(),
             answers: self.answers(),
+            evacuations: self
+                .gateway
+                .routing_state
+                .next_evacuations(MAX_EVACUATION_BYTES),
             ..LoadFrame::default()
         }
     }
@@ -201,13 +210,14 @@
         let runs = with_list.then(|| self.gateway.fleet_load().own_runs());
         let mut first = self.empty_frame();
         first.runs = runs.filter(|r| r.len() <= MAX_RUNS_PER_FRAME);
-        let mut length = first.runs.as_ref().map_or(0, |r| r.len() * 3) + 64;
+        let empty_length = evacuations::max_bytes(&first.evacuations) + 64;
+        let mut length = first.runs.as_ref().map_or(0, |r| r.len() * 3) + empty_length;
         let mut frames = vec![first];
         for event in events {
             let size = postcard::to_stdvec(&event).map_or(0, |bytes| bytes.len());
             if length + size > MAX_BYTES {
                 frames.push(self.empty_frame());
-                length = 64;
+                length = empty_length;
             }
             length += size;
             if let Some(last) = frames.last_mut() {
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -1,5 +1,5 @@
-//! Snapshots of the configuration, the directory of targets and the cache contents, fetched from a
-//! peer over TCP.
+//! Snapshots of the configuration, the evacuations, the directory of targets and the cache contents,
+//! fetched from a peer over TCP.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,6 +21,8 @@
 
 /// Path of the encoded configuration.
 const CONFIGURATION_PATH: &str = "/configuration";
+/// Path of all rows about evacuations.
+const EVACUATIONS_PATH: &str = "/evacuations";
 /// Path of the directory of targets; the query is the version that the requester has.
 const DIRECTORY_PATH: &str = "/directory";
 /// Maximum decompressed size of a snapshot: some kB for each of the planned 1,100 targets.
@@ -63,6 +65,10 @@
     versions: Versions,
 ) -> anyhow::Result<()> {
     let own = gateway.routing_state.versions();
+    if own.revision == 0 {
+        // A gateway with a configuration is ready, so that it has to know the evacuations before.
+        fetch_evacuations(gateway, peer).await?;
+    }
     if versions.revision > own.revision {
         let document = get(gateway, peer, CONFIGURATION_PATH).await?;
         gateway.routing_state.offer_configuration(&document, "peer");
@@ -81,6 +87,20 @@
     Ok(())
 }
 
+async fn fetch_evacuations(gateway: &Gateway, peer: SocketAddr) -> anyhow::Result<()> {
+    let response = call::get(&gateway.peer_pool, peer, EVACUATIONS_PATH, FETCH_TIMEOUT).await?;
+    match response.status() {
+        StatusCode::OK => {}
+        // A gateway of a version without evacuations.
+        StatusCode::NOT_FOUND => return Ok(()),
+        status => anyhow::bail!("{EVACUATIONS_PATH}: status {status}"),
+    }
+    let rows = postcard::from_bytes(&decompress(response.body())?)?;
+    let now = gateway.clock.monotonic();
+    gateway.routing_state.apply_evacuations(rows, "peer", now);
+    Ok(())
+}
+
 async fn get(gateway: &Gateway, peer: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
     let response = call::get(&gateway.peer_pool, peer, path, FETCH_TIMEOUT).await?;
     let status = response.status();
@@ -139,6 +159,10 @@
     let after = req.uri().query().and_then(|v| v.parse().ok()).unwrap_or(0);
     match req.uri().path() {
         CONFIGURATION_PATH => Response::new(Full::new(gateway.routing_state.document())),
+        EVACUATIONS_PATH => encoded_response(
+            "evacuations",
+            compress(&gateway.routing_state.evacuations()),
+        ),
         DIRECTORY_PATH => encoded_response("directory", encoded_directory(gateway, cached, after)),
         CACHES_PATH if gateway.peers.is_warm.load(Ordering::Acquire) => {
             encoded_response("caches", compress(&gateway.fleet_load().cached_parts()))
