Hold requests to plain services in routers while their targets are full

A plain service never refused a request while its latency fitted the time left, and sent all of a burst to the targets, whose queues then overflowed. A target that turned a request away because it was full counted as failing.

A target now gets at most 1.5 requests for each slot. Further requests wait in their routers in order of arrival, and one whose turn does not come in time is refused at once with the time at which it would be accepted. A rejection (503, not executed) reaches all schedulers as RunResult::Rejected, lowers the room of the target and closes it for 50 ms, longer each time; answers to requests that try the limit raise it. For a plain service it no longer counts as a failure. The new event follows the frame in its datagram, where the previous version ignores it. Overdue requests raise the expected latency of a slow target. The latency is measured from the placement, no longer from the arrival of the request.

Tests of samphiresill-gateway not run yet.

--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -63,6 +63,21 @@
     pub answers: StoreAnswers,
 }
 
+impl LoadFrame {
+    /// Encodes a frame whose events gateways of the previous version cannot all decode. Those events
+    /// follow the answers of the store, where these gateways ignore them.
+    fn encode_new_events(&self) -> Result<Vec<u8>, postcard::Error> {
+        let (new_events, events): (Vec<Event>, Vec<Event>) =
+            self.events.iter().cloned().partition(Event::is_new);
+        let frame = Frame::Load(Self {
+            events,
+            ..self.clone()
+        });
+        let bytes = postcard::to_extend(&self.answers, postcard::to_stdvec(&frame)?)?;
+        postcard::to_extend(&new_events, bytes)
+    }
+}
+
 /// `StoreAnswers` are the ages of the store's newest answers when a frame was sent, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreAnswers {
@@ -155,12 +170,12 @@
     /// # Errors
     /// When the encoder fails, which it does not for the types in a frame.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        let bytes = postcard::to_stdvec(self)?;
         match self {
+            Self::Load(load) if load.events.iter().any(Event::is_new) => load.encode_new_events(),
             Self::Load(load) if load.answers != StoreAnswers::default() => {
-                postcard::to_extend(&load.answers, bytes)
+                postcard::to_extend(&load.answers, postcard::to_stdvec(self)?)
             }
-            _ => Ok(bytes),
+            _ => postcard::to_stdvec(self),
         }
     }
 
@@ -173,7 +188,12 @@
         if let Self::Load(load) = &mut frame
             && !rest.is_empty()
         {
-            load.answers = postcard::from_bytes(rest)?;
+            let (answers, rest) = postcard::take_from_bytes(rest)?;
+            load.answers = answers;
+            if !rest.is_empty() {
+                let new_events: Vec<Event> = postcard::from_bytes(rest)?;
+                load.events.extend(new_events);
+            }
         }
         Ok(frame)
     }
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -27,6 +27,8 @@
     gateway: Arc<Gateway>,
     /// Placement of the run.
     pub placement: Placement,
+    /// When it was placed.
+    pub placed_at: Duration,
     /// When the listed instance of its target started, in Unix milliseconds; `None` when it was not
     /// listed.
     started_ms: Option<u64>,
@@ -39,6 +41,7 @@
     pub fn new(gateway: Arc<Gateway>, placement: Placement) -> Self {
         let started_ms = gateway.fleet_load().started_ms(&placement.target);
         Self {
+            placed_at: gateway.clock.monotonic(),
             gateway,
             placement,
             started_ms,
@@ -73,6 +76,9 @@
     pub is_broken_connection: bool,
     /// Whether this router broke the attempt off, which tells nothing about the target.
     pub is_cancelled: bool,
+    /// Whether the target was full: it turned the request away with status 503, and neither leaves nor
+    /// names a limit that explains it.
+    pub is_rejected: bool,
 }
 
 impl Failure {
@@ -85,6 +91,7 @@
             response: None,
             is_broken_connection: false,
             is_cancelled: false,
+            is_rejected: false,
         }
     }
 
@@ -306,7 +313,13 @@
             FailurePoint::NotExecuted
         };
         let cause = format!("the target did not run it, status {}", head.status);
-        return Err(Failure::new(point, cause));
+        let told = info.directives;
+        return Err(Failure {
+            is_rejected: head.status == StatusCode::SERVICE_UNAVAILABLE
+                && !told.is_leaving
+                && told.rate_limit.is_none(),
+            ..Failure::new(point, cause)
+        });
     }
     if head.status.is_success() && !info.is_signed {
         return Err(Failure::new(
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -331,7 +331,8 @@
     let (result, outcome) = if head.status.is_server_error() {
         (RunResult::Failed, metrics::Outcome::TargetFailure)
     } else {
-        let ms = took.as_millis() as u32;
+        // The time that the request waited in this router says nothing about the target.
+        let ms = now.saturating_sub(run.placed_at).as_millis() as u32;
         (RunResult::Answered { ms }, metrics::Outcome::Served)
     };
     run.set_result(result);
@@ -352,6 +353,7 @@
 fn run_result(failure: &Failure) -> RunResult {
     match failure.point {
         _ if failure.is_cancelled => RunResult::Unknown,
+        FailurePoint::NotExecuted if failure.is_rejected => RunResult::Rejected,
         // `Misdirected`: another target has taken over the address.
         FailurePoint::Connect | FailurePoint::Misdirected => RunResult::Unreachable,
         _ => RunResult::Failed,
--- a/samphiresill-gateway/src/tests/frames.rs
+++ b/samphiresill-gateway/src/tests/frames.rs
@@ -7,7 +7,7 @@
 use samphiresill_sched::fleet::quarantine::{MAX_ENTRIES, Notice};
 use samphiresill_sched::fleet::request::{PlacementRequest, RunId};
 
-use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES, PlacementRequestFrame};
+use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES, PlacementRequestFrame, StoreAnswers};
 
 fn frame() -> Frame {
     let event = Event::Ended {
@@ -47,6 +47,39 @@
     assert_eq!(format!("{read:?}"), format!("{:?}", frame()));
 }
 
+/// Guards against a datagram that gateways of the previous version drop because of one event that they do
+/// not know: they decode the rest of it.
+#[test]
+fn the_previous_version_decodes_a_frame_with_a_new_event() {
+    let run = RunId {
+        origin: 7,
+        number: 10,
+    };
+    let rejected = Event::Ended {
+        run,
+        target: "t2".into(),
+        result: RunResult::Rejected,
+    };
+    let Frame::Load(mut load) = frame() else {
+        panic!("a load frame");
+    };
+    let known = load.events.clone();
+    load.answers.own_ms = Some(5);
+    load.events.push(rejected);
+    let expected = format!("{load:?}");
+    let bytes = Frame::Load(load).encode().expect("a frame");
+    let (Frame::Load(previous), rest) = postcard::take_from_bytes(&bytes).expect("a frame") else {
+        panic!("a load frame");
+    };
+    assert_eq!(previous.events, known);
+    let answers: StoreAnswers = postcard::from_bytes(rest).expect("answers");
+    assert_eq!(answers.own_ms, Some(5));
+    let Frame::Load(read) = Frame::decode(&bytes).expect("a frame") else {
+        panic!("a load frame");
+    };
+    assert_eq!(format!("{read:?}"), expected);
+}
+
 /// Truncated frames must be rejected, and decoding a frame with a changed byte must not panic.
 #[test]
 fn truncated_frames_are_rejected_and_corrupted_ones_do_not_panic() {
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -24,6 +24,8 @@
     Unreachable,
     /// The deadline of the request passed while its stream made progress.
     TimeUp,
+    /// The target was full and stated that it did not execute the request.
+    Rejected,
 }
 
 /// `Event` is one change of the fleet's load.
@@ -114,3 +116,17 @@
         started_ms: u64,
     },
 }
+
+impl Event {
+    /// Returns whether routers of the previous version cannot decode the event.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        matches!(
+            self,
+            Self::Ended {
+                result: RunResult::Rejected,
+                ..
+            }
+        )
+    }
+}
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -28,6 +28,7 @@
 use super::directive::Directives;
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
+use super::plain::waiting::Waiting;
 use super::quarantine::Quarantine;
 use super::quarantine::evidence::CrashEvidence;
 use super::queueing::{Queue, QueueLimit};
@@ -80,6 +81,8 @@
     shortest_objectives: BTreeMap<ServiceName, ShortestObjective>,
     queue_limit: QueueLimit,
     queue: Queue,
+    /// Waiting requests of plain services in the routing table.
+    plain_waiting: BTreeMap<ServiceName, Waiting>,
     swept_at: Duration,
     /// Times of refusals, by fingerprint of the request.
     refused: BTreeMap<u64, Duration>,
@@ -106,6 +109,7 @@
             shortest_objectives: BTreeMap::new(),
             queue_limit: QueueLimit::default(),
             queue: Queue::default(),
+            plain_waiting: BTreeMap::new(),
             swept_at: Duration::ZERO,
             refused: BTreeMap::new(),
             crash_evidence: CrashEvidence::default(),
@@ -126,6 +130,8 @@
     /// until the target restarts or changes its service.
     pub fn set_targets(&mut self, entries: &[TargetEntry], table: &RoutingTable) {
         self.directives.set_targets(entries);
+        self.plain_waiting
+            .retain(|service, _| table.services.contains_key(service));
         let mut old = std::mem::take(&mut self.targets);
         for entry in entries {
             let engine = table.services.get(&entry.service).and_then(|s| s.engine);
@@ -434,8 +440,8 @@
                             }
                         }
                     }
+                    target.record_result(*run, *result, now);
                     target.load.end(*run);
-                    target.record_result(*result, now);
                 }
             }
             Event::Refused { fingerprint, .. } => self.record_refused(*fingerprint, now),
--- a/samphiresill-sched/src/fleet/load/target.rs
+++ b/samphiresill-sched/src/fleet/load/target.rs
@@ -55,18 +55,27 @@
         self.entry = entry;
     }
 
-    /// Updates the health, and the latency of a plain service, with the outcome of a run.
-    pub(super) fn record_result(&mut self, result: RunResult, now: Duration) {
+    /// Updates the health, and the latency and room of a plain service, with the outcome of a run that
+    /// is still counted.
+    pub(super) fn record_result(&mut self, run: RunId, result: RunResult, now: Duration) {
         match result {
             RunResult::Unknown | RunResult::TimeUp => {}
             RunResult::Answered { ms } => {
                 self.health.record_success();
                 self.health.reported_alive(now);
                 if let TargetLoad::Plain(load) = &mut self.load {
-                    load.observe(Duration::from_millis(u64::from(ms)));
+                    load.observe(run, Duration::from_millis(u64::from(ms)));
                 }
             }
             RunResult::Failed => self.health.record_failure(now),
+            RunResult::Rejected => match &mut self.load {
+                // A full target works; its room keeps further requests off it.
+                TargetLoad::Plain(load) => {
+                    self.health.reported_alive(now);
+                    load.reject(run, now);
+                }
+                TargetLoad::Engine(_) => self.health.record_failure(now),
+            },
             RunResult::Unreachable => self.health.record_unreachable(now),
         }
     }
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -5,6 +5,7 @@
 mod fleet_load;
 mod learning;
 mod patterns;
+mod plain_bursts;
 mod quarantine;
 mod rate_limit;
 mod simulation;
