Merge waiting requests of plain services

New events and evacuations follow the answers of the store in a load frame, in this order; a long pause of a stream is one of the new events.

--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -67,6 +67,35 @@
     pub evacuations: Vec<evacuations::Row>,
 }
 
+impl LoadFrame {
+    /// Splits off the events that gateways of the previous version cannot decode.
+    fn split_new_events(&self) -> (Self, Vec<Event>) {
+        let (new_events, events) = self.events.iter().cloned().partition(Event::is_new);
+        let frame = Self {
+            events,
+            ..self.clone()
+        };
+        (frame, new_events)
+    }
+
+    /// Appends what gateways of earlier versions do not know, up to the last part that holds
+    /// something. They ignore it.
+    fn extend(&self, new_events: &[Event], mut bytes: Vec<u8>) -> Result<Vec<u8>, postcard::Error> {
+        let has_new_events = !new_events.is_empty();
+        let has_evacuations = has_new_events || !self.evacuations.is_empty();
+        if has_evacuations || self.answers != StoreAnswers::default() {
+            bytes = postcard::to_extend(&self.answers, bytes)?;
+        }
+        if has_evacuations {
+            bytes = postcard::to_extend(&self.evacuations, bytes)?;
+        }
+        if has_new_events {
+            bytes = postcard::to_extend(new_events, bytes)?;
+        }
+        Ok(bytes)
+    }
+}
+
 /// `StoreAnswers` are the ages of the store's newest answers when a frame was sent, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreAnswers {
@@ -159,18 +188,14 @@
     /// # Errors
     /// When the encoder fails, which it does not for the types in a frame.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        let bytes = postcard::to_stdvec(self)?;
         let Self::Load(load) = self else {
-            return Ok(bytes);
+            return postcard::to_stdvec(self);
         };
-        if load.evacuations.is_empty() {
-            if load.answers == StoreAnswers::default() {
-                return Ok(bytes);
-            }
-            return postcard::to_extend(&load.answers, bytes);
+        if !load.events.iter().any(Event::is_new) {
+            return load.extend(&[], postcard::to_stdvec(self)?);
         }
-        let bytes = postcard::to_extend(&load.answers, bytes)?;
-        postcard::to_extend(&load.evacuations, bytes)
+        let (known, new_events) = load.split_new_events();
+        load.extend(&new_events, postcard::to_stdvec(&Self::Load(known))?)
     }
 
     /// Decodes a frame.
@@ -185,7 +210,12 @@
             let (answers, rest) = postcard::take_from_bytes(rest)?;
             load.answers = answers;
             if !rest.is_empty() {
-                load.evacuations = postcard::from_bytes(rest)?;
+                let (evacuations, rest) = postcard::take_from_bytes(rest)?;
+                load.evacuations = evacuations;
+                if !rest.is_empty() {
+                    let new_events: Vec<Event> = postcard::from_bytes(rest)?;
+                    load.events.extend(new_events);
+                }
             }
         }
         Ok(frame)
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -29,6 +29,7 @@
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
 use super::pause::LateStreams;
+use super::plain::waiting::Waiting;
 use super::quarantine::Quarantine;
 use super::quarantine::evidence::CrashEvidence;
 use super::queueing::{Queue, QueueLimit};
@@ -82,6 +83,8 @@
     late_streams: BTreeMap<ServiceName, LateStreams>,
     queue_limit: QueueLimit,
     queue: Queue,
+    /// Waiting requests of plain services in the routing table.
+    plain_waiting: BTreeMap<ServiceName, Waiting>,
     swept_at: Duration,
     /// Times of refusals, by fingerprint of the request.
     refused: BTreeMap<u64, Duration>,
@@ -109,6 +112,7 @@
             late_streams: BTreeMap::new(),
             queue_limit: QueueLimit::default(),
             queue: Queue::default(),
+            plain_waiting: BTreeMap::new(),
             swept_at: Duration::ZERO,
             refused: BTreeMap::new(),
             crash_evidence: CrashEvidence::default(),
@@ -130,6 +134,8 @@
     pub fn set_targets(&mut self, entries: &[TargetEntry], table: &RoutingTable) {
         self.directives.set_targets(entries);
         let pause_objectives = table.event_interval_objectives();
+        self.plain_waiting
+            .retain(|service, _| table.services.contains_key(service));
         let mut old = std::mem::take(&mut self.targets);
         for entry in entries {
             let engine = table.services.get(&entry.service).and_then(|s| s.engine);
@@ -454,8 +460,8 @@
                             }
                         }
                     }
+                    target.record_result(*run, *result, now);
                     target.load.end(*run);
-                    target.record_result(*result, now);
                 }
             }
             Event::Refused { fingerprint, .. } => self.record_refused(*fingerprint, now),
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -6,6 +6,7 @@
 mod learning;
 mod patterns;
 mod pauses;
+mod plain_bursts;
 mod quarantine;
 mod rate_limit;
 mod simulation;
