Limit the requests to cold targets

Targets that restarted together got their usual load at once and crashed again, because only limits that a target names itself were kept.

The configuration's cold_start_s and cold_per_s and the cold_remaining_ms of entries are decoded. Each gateway sends to a cold target at even intervals by its share of the rate; schedulers that see more than half of the fleet divide 0.8 of it, all others have 0.2/N. Refused, unanswered and broken connections and crashes are signs of a restart; schedulers repeat them to each other, to their clients and to a gateway that starts. Where a service names no cold start, nothing changes.

Ruled out: a token bucket over the events of all schedulers, which lets its capacity and the rate pass in one second; one scheduler for each target; cold times inside TargetEntry, whose encoding older gateways decode.

Tests of the adapter have not been run yet.

--- a/samphiresill-core/src/routing.rs
+++ b/samphiresill-core/src/routing.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::name::{CustomerName, DomainName, ServiceName, TargetName};
+use crate::units::RequestRate;
 
 /// `RequestKind` determines whether the requests of a route may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -102,6 +103,17 @@
     pub max_connections: u32,
     /// Engine parameters, if the targets are model engines.
     pub engine: Option<EngineSpec>,
+    /// How the targets behave after a start; `None` when they are never cold.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// `ColdStart` describes how a target behaves after a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdStart {
+    /// Time for which the target is cold.
+    pub duration: Duration,
+    /// Requests that one cold target takes from all routers together.
+    pub rate: RequestRate,
 }
 
 /// `CallerLimits` are the limits on requests and connections of callers.
@@ -211,4 +223,26 @@
     pub state: TargetState,
     /// Start time of the process in Unix milliseconds, which distinguishes restarts under one name.
     pub started_ms: u64,
+    /// How much longer the target says that it stays cold; `None` when it is not. Times of the
+    /// monotonic clock differ by router, so the time is sent separately from the entry.
+    #[serde(skip)]
+    pub cold: Option<ColdTime>,
+}
+
+/// `ColdTime` is how much longer a target stays cold, as of a reading of its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdTime {
+    /// When the entry was read, as monotonic time of this router.
+    pub read_at: Duration,
+    /// How much longer the target was to stay cold then.
+    pub remaining: Duration,
+}
+
+impl ColdTime {
+    /// Returns how much longer the target stays cold; `None` when it no longer is.
+    #[must_use]
+    pub fn remaining(self, now: Duration) -> Option<Duration> {
+        let remaining = (self.read_at + self.remaining).saturating_sub(now);
+        (!remaining.is_zero()).then_some(remaining)
+    }
 }
--- a/samphiresill-gateway/src/knowledge/directory.rs
+++ b/samphiresill-gateway/src/knowledge/directory.rs
@@ -8,9 +8,10 @@
 //! kept.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use samphiresill_core::name::TargetName;
-use samphiresill_core::routing::{TargetEntry, TargetState};
+use samphiresill_core::routing::{ColdTime, TargetEntry, TargetState};
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of tombstones kept for routers that are behind: enough for several days at the
@@ -19,6 +20,19 @@
 /// Encoded size of a change without its names: version, address, slots, state and start time.
 const CHANGE_OVERHEAD_BYTES: usize = 40;
 
+/// Encoded size of the cold time of an entry.
+const COLD_TIME_BYTES: usize = 8;
+
+/// `EntryColdTime` is how much longer the target of an entry in an update is cold. It is sent apart from
+/// the entry, so that routers that do not know it can decode the entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryColdTime {
+    /// Index of the change in the update.
+    pub index: u32,
+    /// How much longer the target is cold, in milliseconds.
+    pub remaining_ms: u32,
+}
+
 /// `Change` is a change of one row of the directory of targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -34,7 +48,9 @@
 impl Change {
     fn estimated_size(&self) -> usize {
         let names = |e: &TargetEntry| e.name.len() + e.service.len() + e.domain.len();
-        self.name.len() + self.entry.as_ref().map_or(0, names) + CHANGE_OVERHEAD_BYTES
+        let is_cold = self.entry.as_ref().is_some_and(|e| e.cold.is_some());
+        let cold = if is_cold { COLD_TIME_BYTES } else { 0 };
+        self.name.len() + self.entry.as_ref().map_or(0, names) + cold + CHANGE_OVERHEAD_BYTES
     }
 }
 
@@ -186,6 +202,33 @@
 }
 
 impl Update {
+    /// Returns the cold times of the entries that still say that their targets are cold.
+    #[must_use]
+    pub fn cold_times(&self, now: Duration) -> Vec<EntryColdTime> {
+        let changes = self.changes.iter().enumerate();
+        let cold_times = changes.filter_map(|(index, change)| {
+            let remaining = change.entry.as_ref()?.cold?.remaining(now)?;
+            Some(EntryColdTime {
+                index: u32::try_from(index).ok()?,
+                remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+            })
+        });
+        cold_times.collect()
+    }
+
+    /// Sets the cold times that were received with the update at `now`.
+    pub fn set_cold_times(&mut self, cold_times: &[EntryColdTime], now: Duration) {
+        for cold_time in cold_times {
+            let change = self.changes.get_mut(cold_time.index as usize);
+            if let Some(entry) = change.and_then(|c| c.entry.as_mut()) {
+                entry.cold = Some(ColdTime {
+                    read_at: now,
+                    remaining: Duration::from_millis(u64::from(cold_time.remaining_ms)),
+                });
+            }
+        }
+    }
+
     /// Splits the update into consecutive parts of at most `max_bytes` each. Changes of the same
     /// version stay in one part.
     #[must_use]
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -82,6 +82,8 @@
     quarantined: Gauge<u64>,
     limited_responses: Counter<u64>,
     limited_targets: Gauge<u64>,
+    cold_targets: Gauge<u64>,
+    cold_diversions: Counter<u64>,
     first_event_time: Histogram<f64>,
     request_time: Histogram<f64>,
     queueing_time: Histogram<f64>,
@@ -111,6 +113,8 @@
             quarantined: meter.u64_gauge("gateway_quarantined_parts").build(),
             limited_responses: meter.u64_counter("gateway_limited_responses").build(),
             limited_targets: meter.u64_gauge("gateway_limited_targets").build(),
+            cold_targets: meter.u64_gauge("gateway_cold_targets").build(),
+            cold_diversions: meter.u64_counter("gateway_cold_diversions").build(),
             first_event_time: histogram(&meter, "gateway_first_event_seconds"),
             request_time: histogram(&meter, "gateway_request_seconds"),
             queueing_time: histogram(&meter, "gateway_queueing_seconds"),
@@ -178,6 +182,16 @@
         self.limited_targets.record(targets as u64, &[]);
     }
 
+    /// Records the number of cold targets.
+    pub fn record_cold_targets(&self, targets: usize) {
+        self.cold_targets.record(targets as u64, &[]);
+    }
+
+    /// Counts requests that the limit of a cold target sent elsewhere, delayed or refused.
+    pub fn record_cold_diversions(&self, requests: u64) {
+        self.cold_diversions.add(requests, &[]);
+    }
+
     /// Records the time to the first event of a stream.
     pub fn record_first_event(&self, took: Duration) {
         self.first_event_time.record(took.as_secs_f64(), &[]);
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -13,6 +13,8 @@
 use samphiresill_member::store_watch::{Reason, StoreWatch};
 use samphiresill_sched::fleet::directive::rate_limit::LimitShare;
 
+use super::cold_log::ColdLog;
+use super::cold_share::{ColdShares, View};
 use super::frame::Frame;
 use super::limit_log::LimitLog;
 use super::quarantine::NoticesSent;
@@ -70,6 +72,8 @@
     pub(super) is_fetching: Arc<AtomicBool>,
     pub(super) notices_sent: NoticesSent,
     pub(super) limit_log: LimitLog,
+    pub(super) cold_shares: ColdShares,
+    pub(super) cold_log: ColdLog,
 }
 
 impl Driver {
@@ -127,6 +131,8 @@
             is_fetching: Arc::default(),
             notices_sent: NoticesSent::default(),
             limit_log: LimitLog::default(),
+            cold_shares: ColdShares::new(now),
+            cold_log: ColdLog::default(),
         }
     }
 
@@ -166,6 +172,7 @@
 
     async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let now = self.gateway.clock.monotonic();
+        self.cold_shares.record_heard(from, now);
         match Frame::decode(bytes) {
             Ok(Frame::Member { from, message }) => {
                 let out = self.membership.receive(now, &from, message);
@@ -246,6 +253,7 @@
         } else {
             LimitShare::OneOf(routers)
         });
+        self.update_cold_share(now);
         if is_new {
             log::info!(
                 members = usable, schedulers = self.roles.schedulers.len(), is_scheduler;
@@ -254,6 +262,17 @@
         }
     }
 
+    /// Passes the share of the rates of cold targets to the fleet load.
+    fn update_cold_share(&mut self, now: Duration) {
+        let view = View {
+            own: self.membership.own(),
+            members: self.membership.members(),
+            schedulers: &self.roles.schedulers,
+        };
+        let share = self.cold_shares.update(&view, now);
+        self.gateway.fleet_load().set_cold_share(share, now);
+    }
+
     /// Removes the runs of dead gateways from the fleet load.
     fn drop_dead_peers(&mut self) {
         let now = self.gateway.clock.monotonic();
@@ -276,12 +295,14 @@
         let now = self.gateway.clock.monotonic();
         let out = self.membership.tick(now);
         self.apply_outputs(out).await;
+        self.update_cold_share(now);
         self.decide_watching(now);
         if now.saturating_sub(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
             self.gateway.fleet_load().sweep(now);
             self.log_ejections(now);
             self.limit_log.update(&self.gateway, now);
+            self.cold_log.update(&self.gateway, now);
             let quarantined = self.gateway.fleet_load().quarantine().len(now);
             self.gateway.metrics.record_quarantined(quarantined);
             // A report may also arrive after its crash was judged.
@@ -290,6 +311,7 @@
             self.judge_crashes(now);
         }
         self.send_notices(now).await;
+        self.send_cold_news(now).await;
         // Heartbeats reach more gateways than events do, so events do not replace them.
         let is_due = now.saturating_sub(self.heartbeat_sent_at) >= HEARTBEAT_INTERVAL;
         if is_due || self.gateway.fleet_load().has_events() {
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::knowledge::Versions;
-use crate::knowledge::directory::Update;
+use crate::knowledge::directory::{EntryColdTime, Update};
 
 /// Maximum size of a datagram; larger ones would be fragmented on most links.
 pub const MAX_BYTES: usize = 1_400;
@@ -61,6 +61,9 @@
     /// know them ignore them.
     #[serde(skip)]
     pub answers: StoreAnswers,
+    /// Cold times of the entries in `update`. They follow `answers` in the datagram.
+    #[serde(skip)]
+    pub cold: Vec<EntryColdTime>,
 }
 
 /// `StoreAnswers` are the ages of the store's newest answers when a frame was sent, in milliseconds.
@@ -157,6 +160,9 @@
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = postcard::to_stdvec(self)?;
         match self {
+            Self::Load(load) if !load.cold.is_empty() => {
+                postcard::to_extend(&(load.answers, &load.cold), bytes)
+            }
             Self::Load(load) if load.answers != StoreAnswers::default() => {
                 postcard::to_extend(&load.answers, bytes)
             }
@@ -173,7 +179,11 @@
         if let Self::Load(load) = &mut frame
             && !rest.is_empty()
         {
-            load.answers = postcard::from_bytes(rest)?;
+            let (answers, rest) = postcard::take_from_bytes(rest)?;
+            load.answers = answers;
+            if !rest.is_empty() {
+                load.cold = postcard::from_bytes(rest)?;
+            }
         }
         Ok(frame)
     }
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -11,6 +11,7 @@
 use super::frame::{Frame, LoadFrame, MAX_BYTES};
 use super::snapshot;
 use crate::knowledge::Versions;
+use crate::knowledge::directory::Update;
 
 /// Interval between lists of all active runs.
 const RUN_LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -49,7 +50,8 @@
             fleet_load.retain_runs(frame.origin, Some(&active), is_relayed, now);
         }
         drop(fleet_load);
-        if let Some(update) = frame.update {
+        if let Some(mut update) = frame.update {
+            update.set_cold_times(&frame.cold, now);
             self.gateway.routing_state.apply_update(update);
         }
         let own = self.gateway.routing_state.versions();
@@ -130,7 +132,13 @@
 
     /// Tells a gateway that has just started what targets have told this one.
     pub(super) async fn send_directives(&self, to: SocketAddr) {
-        let events = self.gateway.fleet_load().directive_events();
+        let now = self.gateway.clock.monotonic();
+        let events = {
+            let fleet_load = self.gateway.fleet_load();
+            let mut events = fleet_load.directive_events();
+            events.extend(fleet_load.cold_events(now));
+            events
+        };
         if events.is_empty() {
             return;
         }
@@ -141,6 +149,21 @@
         }
     }
 
+    /// Tells the clients of a scheduler of signs that targets have restarted, for placements without a
+    /// scheduler.
+    pub(super) async fn send_cold_news(&mut self, now: Duration) {
+        let events = self.gateway.fleet_load().take_cold_news(now);
+        if events.is_empty() || !self.roles.is_scheduler(&self.vm) {
+            return;
+        }
+        let clients = self.live_clients(now);
+        for frame in self.load_frames(events, false) {
+            self.peers
+                .send(&Frame::Load(frame), clients.iter().copied())
+                .await;
+        }
+    }
+
     /// Removes clients that have not sent a frame recently, and returns the others.
     pub(super) fn live_clients(&mut self, now: Duration) -> Vec<SocketAddr> {
         self.clients
@@ -178,7 +201,9 @@
         if parts.is_empty() || parts.len() > MAX_UPDATE_PARTS {
             return vec![self.empty_frame()];
         }
-        let frame = |update| LoadFrame {
+        let now = self.gateway.clock.monotonic();
+        let frame = |update: Update| LoadFrame {
+            cold: update.cold_times(now),
             update: Some(update),
             ..self.empty_frame()
         };
@@ -203,7 +228,14 @@
         first.runs = runs.filter(|r| r.len() <= MAX_RUNS_PER_FRAME);
         let mut length = first.runs.as_ref().map_or(0, |r| r.len() * 3) + 64;
         let mut frames = vec![first];
-        for event in events {
+        // A receiver that cannot decode an event loses all events of its frame.
+        let (cold, events): (Vec<Event>, Vec<Event>) =
+            events.into_iter().partition(Event::is_cold_event);
+        let first_cold = events.len();
+        for (index, event) in events.into_iter().chain(cold).enumerate() {
+            if index == first_cold && index > 0 {
+                length = MAX_BYTES;
+            }
             let size = postcard::to_stdvec(&event).map_or(0, |bytes| bytes.len());
             if length + size > MAX_BYTES {
                 frames.push(self.empty_frame());
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -7,6 +7,8 @@
 //! store on behalf of all. A gateway whose routing state is older fetches the newer one from a
 //! peer, also when the store does not respond to it.
 
+mod cold_log;
+mod cold_share;
 pub mod driver;
 pub mod frame;
 mod limit_log;
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -16,7 +16,7 @@
 use crate::connection::call;
 use crate::gateway::Gateway;
 use crate::knowledge::Versions;
-use crate::knowledge::directory::Update;
+use crate::knowledge::directory::{EntryColdTime, Update};
 use crate::responder::{self, FullResponse};
 
 /// Path of the encoded configuration.
@@ -27,6 +27,9 @@
 const MAX_FETCHED_BYTES: usize = 8 * 1024 * 1024;
 /// Path of the contents of the engines' caches.
 const CACHES_PATH: &str = "/caches";
+/// Time for which an encoded directory with cold times is used: long enough for gateways that start
+/// together, and by which their targets may seem cold for too long.
+const COLD_TIMES_VALIDITY: Duration = Duration::from_millis(200);
 /// Timeout for a fetch, including the body.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -70,7 +73,7 @@
     if versions.directory > own.directory {
         let path = format!("{DIRECTORY_PATH}?{}", own.directory);
         let bytes = get(gateway, peer, &path).await?;
-        let update: Update = postcard::from_bytes(&decompress(&bytes)?)?;
+        let update = decode_update(&decompress(&bytes)?, gateway.clock.monotonic())?;
         log::info!(
             peer:% = peer, from = own.directory, to = update.version,
             changes = update.changes.len(), is_whole = update.base.is_none();
@@ -81,6 +84,17 @@
     Ok(())
 }
 
+/// Decodes a directory update and the cold times that follow it. A peer of an earlier version sends
+/// none.
+fn decode_update(bytes: &[u8], now: Duration) -> Result<Update, postcard::Error> {
+    let (mut update, rest): (Update, _) = postcard::take_from_bytes(bytes)?;
+    if !rest.is_empty() {
+        let cold_times: Vec<EntryColdTime> = postcard::from_bytes(rest)?;
+        update.set_cold_times(&cold_times, now);
+    }
+    Ok(update)
+}
+
 async fn get(gateway: &Gateway, peer: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
     let response = call::get(&gateway.peer_pool, peer, path, FETCH_TIMEOUT).await?;
     let status = response.status();
@@ -153,6 +167,8 @@
 #[derive(Default)]
 struct EncodedDirectory {
     version: u64,
+    /// Until when the cold times in it are accurate enough.
+    valid_until: Duration,
     bytes: Bytes,
 }
 
@@ -161,16 +177,30 @@
     cached: &Mutex<EncodedDirectory>,
     after: u64,
 ) -> Result<Bytes, postcard::Error> {
-    let encode = || compress(&gateway.routing_state.directory_since(after));
+    let now = gateway.clock.monotonic();
+    let encode = || {
+        let update = gateway.routing_state.directory_since(after);
+        let cold_times = update.cold_times(now);
+        let has_cold_times = !cold_times.is_empty();
+        Ok::<_, postcard::Error>((compress(&(update, cold_times))?, has_cold_times))
+    };
     if after > 0 {
-        return encode();
+        return encode().map(|(bytes, _)| bytes);
     }
     let version = gateway.routing_state.versions().directory;
     let mut cached = cached.lock().unwrap_or_else(PoisonError::into_inner);
-    if cached.version != version || cached.bytes.is_empty() {
+    let is_outdated = cached.version != version || now >= cached.valid_until;
+    if is_outdated || cached.bytes.is_empty() {
+        let (bytes, has_cold_times) = encode()?;
+        let valid_until = if has_cold_times {
+            now + COLD_TIMES_VALIDITY
+        } else {
+            Duration::MAX
+        };
         *cached = EncodedDirectory {
             version,
-            bytes: encode()?,
+            valid_until,
+            bytes,
         };
     }
     Ok(cached.bytes.clone())
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -140,6 +140,10 @@
         let now = self.gateway.clock.monotonic();
         let target = run.placement.target.clone();
         run.set_result(run_result(&failure));
+        if failure.is_broken_connection {
+            let mut fleet_load = self.gateway.fleet_load();
+            fleet_load.record_broken_connection(&run.placement, now);
+        }
         if let Some(generation) = self.ctx.generation.as_ref()
             && failure.is_broken_connection
         {
--- a/samphiresill-gateway/src/tests/directory.rs
+++ b/samphiresill-gateway/src/tests/directory.rs
@@ -19,6 +19,7 @@
             slots: 1,
             state: TargetState::Ready,
             started_ms: version,
+            cold: None,
         }),
         name,
         version,
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -113,4 +113,31 @@
         /// When the instance of the target started, in Unix milliseconds.
         started_ms: u64,
     },
+    /// The connection of a run broke, so its target may have restarted.
+    ConnectionBroken {
+        /// The target.
+        target: TargetName,
+    },
+    /// Repeats that a target may have restarted and is cold.
+    Cold {
+        /// The target.
+        target: TargetName,
+        /// When the instance of the target started, in Unix milliseconds.
+        started_ms: u64,
+        /// Time since the earliest possible restart, in milliseconds.
+        first_ms_ago: u32,
+        /// Time since the last failed attempt, in milliseconds.
+        last_ms_ago: u32,
+        /// Time until the target is warm, in milliseconds; `None` while it has not answered.
+        warm_in_ms: Option<u32>,
+    },
+}
+
+impl Event {
+    /// Returns whether routers of the version before cold starts cannot decode the event. Such events
+    /// are sent apart from the others.
+    #[must_use]
+    pub fn is_cold_event(&self) -> bool {
+        matches!(self, Self::ConnectionBroken { .. } | Self::Cold { .. })
+    }
 }
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -25,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::target::{Target, TargetLoad};
+use super::cold_start::ColdStarts;
 use super::directive::Directives;
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
@@ -86,6 +87,11 @@
     crash_evidence: CrashEvidence,
     quarantine: Quarantine,
     directives: Directives,
+    cold_starts: ColdStarts,
+    /// Requests that the limit of a cold target sent elsewhere, delayed or refused.
+    cold_diversions: u64,
+    /// When signs of restarts were last repeated.
+    cold_repeated_at: Duration,
     /// Failure domains whose targets get no requests.
     evacuated: BTreeSet<DomainName>,
     /// Events to send to the other routers.
@@ -111,6 +117,9 @@
             crash_evidence: CrashEvidence::default(),
             quarantine: Quarantine::default(),
             directives: Directives::default(),
+            cold_starts: ColdStarts::new(origin),
+            cold_diversions: 0,
+            cold_repeated_at: Duration::ZERO,
             evacuated: BTreeSet::new(),
             outbox: Vec::new(),
         }
@@ -126,6 +135,7 @@
     /// until the target restarts or changes its service.
     pub fn set_targets(&mut self, entries: &[TargetEntry], table: &RoutingTable) {
         self.directives.set_targets(entries);
+        self.cold_starts.set_targets(entries, table);
         let mut old = std::mem::take(&mut self.targets);
         for entry in entries {
             let engine = table.services.get(&entry.service).and_then(|s| s.engine);
@@ -336,9 +346,12 @@
     /// and raises the queueing limit.
     pub fn sweep(&mut self, now: Duration) {
         self.queue_limit.recover();
+        self.repeat_cold_signs(now);
         let targets = &self.targets;
         self.directives
             .sweep(|name| targets.contains_key(name), now);
+        self.cold_starts
+            .sweep(|name| targets.contains_key(name), now);
         let min_started_at = now.saturating_sub(MAX_RUN_AGE);
         let mut ended = Vec::new();
         for (name, target) in &self.targets {
@@ -406,6 +419,7 @@
                 }
             }
             Event::FirstEvent { run, target } => {
+                self.record_cold_answer(target, *run, now);
                 if let Some(target) = self.targets.get_mut(target) {
                     target.health.reported_alive(now);
                     if let TargetLoad::Engine(load) = &mut target.load {
@@ -418,6 +432,7 @@
                 target,
                 result,
             } => {
+                self.record_cold_result(target, *run, *result, now);
                 if let Some(target) = self.targets.get_mut(target) {
                     if let TargetLoad::Engine(load) = &target.load {
                         self.token_interval.record_result(*result);
@@ -452,6 +467,7 @@
                 runs,
                 suspects,
             } => {
+                self.cold_starts.record_crash(target, now);
                 self.crash_evidence
                     .record_crash(target, *runs, suspects, now);
             }
@@ -468,6 +484,9 @@
             Event::Leaving { target, started_ms } => {
                 self.directives.record_leaving(target, *started_ms, now);
             }
+            Event::ConnectionBroken { .. } | Event::Cold { .. } => {
+                self.apply_cold_event(event, now);
+            }
         }
     }
 
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -43,6 +43,13 @@
         jitter: f64,
         now: Duration,
     ) -> Result<Placement, Refusal> {
+        if let Some(remaining) = self.settling_time(req, now) {
+            return Err(Refusal {
+                recheck_in: Some(remaining),
+                ..Refusal::new(Reason::TargetLimit, remaining)
+            });
+        }
+        self.count_cold_diversion(req, now);
         let best = match req.generation {
             Some(generation) => self.choose_engine(req, generation, jitter, now)?,
             None => self.choose_plain(req, jitter, now)?,
@@ -55,6 +62,7 @@
             copy_from: best.copy_from,
             estimate: best.estimate,
         };
+        self.cold_starts.record_start(&placement.target, now);
         self.publish(started_event(&placement, req), now);
         if run.origin == self.origin {
             self.track_own_run(&placement, now);
@@ -162,6 +170,9 @@
         if unavailable.reason != Reason::TargetLimit {
             return None;
         }
+        if self.cold_starts.has_marks() {
+            return self.recheck_cold(req, unavailable, jitter);
+        }
         let objective = req.latency_objective;
         let wait = unavailable.available_in;
         self.queue_limit
@@ -178,7 +189,8 @@
 
     /// Returns the time until the limits of a target allow a request; zero when they do so now.
     pub(super) fn rate_wait(&self, target: &TargetName, claim: Claim, now: Duration) -> Duration {
-        self.directives.limit_wait(target, claim, now)
+        let wait = self.directives.limit_wait(target, claim, now);
+        wait.max(self.cold_starts.wait(target, now))
     }
 }
 
--- a/samphiresill-sched/src/fleet/load/place_plain.rs
+++ b/samphiresill-sched/src/fleet/load/place_plain.rs
@@ -35,7 +35,10 @@
         });
         let Some((_, target, expected, has_free_slot)) = costs.min_by(|a, b| a.0.total_cmp(&b.0))
         else {
-            return Err(unavailable.refusal(req, jitter));
+            return Err(Refusal {
+                recheck_in: self.recheck_cold(req, &unavailable, jitter),
+                ..unavailable.refusal(req, jitter)
+            });
         };
         if expected > req.time_left && !has_free_slot {
             let retry_after = admission::retry_after(expected, req.time_left, jitter);
--- a/samphiresill-sched/src/fleet/load/target.rs
+++ b/samphiresill-sched/src/fleet/load/target.rs
@@ -104,6 +104,14 @@
         }
     }
 
+    /// Returns when a run was sent.
+    pub(super) fn since(&self, run: RunId) -> Option<Duration> {
+        match self {
+            Self::Engine(load) => load.since(run),
+            Self::Plain(load) => load.since(run),
+        }
+    }
+
     /// Returns the runs of an origin, with the times at which they were sent.
     pub(super) fn runs_of(&self, origin: u64) -> Vec<(RunId, Duration)> {
         match self {
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -15,9 +15,11 @@
 //! - one router receives more callers than its processor can serve: [`overload`];
 //! - a target fails, stalls or slows down under load: [`health`];
 //! - requests with one part of a prompt crash each engine that answers them: [`quarantine`];
+//! - targets restart and take few requests at first: [`cold_start`];
 //! - a target tells that it accepts less load than usual: [`directive`].
 
 pub mod admission;
+pub mod cold_start;
 pub mod directive;
 pub mod engine;
 pub mod event;
--- a/samphiresill-sched/src/fleet/tests/simulation.rs
+++ b/samphiresill-sched/src/fleet/tests/simulation.rs
@@ -54,6 +54,7 @@
         health_path: "/health".into(),
         max_connections: 100,
         engine: Some(spec),
+        cold_start: None,
     };
     let limits = CallerLimits {
         head_bytes: 8_192,
@@ -75,6 +76,7 @@
         slots: 64,
         state: TargetState::Ready,
         started_ms: 0,
+        cold: None,
     }
 }
 
