--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::knowledge::Versions;
-use crate::knowledge::directory::Update;
+use crate::knowledge::directory::{EntryColdTime, Update};
 use crate::knowledge::evacuations;
 
 /// Maximum size of a datagram; larger ones would be fragmented on most links.
@@ -65,6 +65,9 @@
     /// Evacuations and their ends. They follow the answers in the datagram.
     #[serde(skip)]
     pub evacuations: Vec<evacuations::Row>,
+    /// Cold times of the entries in `update`. They follow the evacuations in the datagram.
+    #[serde(skip)]
+    pub cold: Vec<EntryColdTime>,
 }
 
 impl LoadFrame {
@@ -82,18 +85,44 @@
     /// something. They ignore it.
     fn extend(&self, new_events: &[Event], mut bytes: Vec<u8>) -> Result<Vec<u8>, postcard::Error> {
         let has_new_events = !new_events.is_empty();
-        let has_evacuations = has_new_events || !self.evacuations.is_empty();
+        let has_cold_times = has_new_events || !self.cold.is_empty();
+        let has_evacuations = has_cold_times || !self.evacuations.is_empty();
         if has_evacuations || self.answers != StoreAnswers::default() {
             bytes = postcard::to_extend(&self.answers, bytes)?;
         }
         if has_evacuations {
             bytes = postcard::to_extend(&self.evacuations, bytes)?;
         }
+        if has_cold_times {
+            bytes = postcard::to_extend(&self.cold, bytes)?;
+        }
         if has_new_events {
             bytes = postcard::to_extend(new_events, bytes)?;
         }
         Ok(bytes)
     }
+
+    /// Decodes what [`Self::extend`] has appended.
+    fn decode_extensions(&mut self, rest: &[u8]) -> Result<(), postcard::Error> {
+        let (answers, rest) = postcard::take_from_bytes(rest)?;
+        self.answers = answers;
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let (evacuations, rest) = postcard::take_from_bytes(rest)?;
+        self.evacuations = evacuations;
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let (cold, rest) = postcard::take_from_bytes(rest)?;
+        self.cold = cold;
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let new_events: Vec<Event> = postcard::from_bytes(rest)?;
+        self.events.extend(new_events);
+        Ok(())
+    }
 }
 
 /// `StoreAnswers` are the ages of the store's newest answers when a frame was sent, in milliseconds.
@@ -207,16 +236,7 @@
         if let Self::Load(load) = &mut frame
             && !rest.is_empty()
         {
-            let (answers, rest) = postcard::take_from_bytes(rest)?;
-            load.answers = answers;
-            if !rest.is_empty() {
-                let (evacuations, rest) = postcard::take_from_bytes(rest)?;
-                load.evacuations = evacuations;
-                if !rest.is_empty() {
-                    let new_events: Vec<Event> = postcard::from_bytes(rest)?;
-                    load.events.extend(new_events);
-                }
-            }
+            load.decode_extensions(rest)?;
         }
         Ok(frame)
     }
--- a/samphiresill-sched/src/fleet/load/place_plain.rs
+++ b/samphiresill-sched/src/fleet/load/place_plain.rs
@@ -48,7 +48,10 @@
         let mut unavailable = Unavailable::from(Reason::NoTarget);
         let found = self.plain_candidates(req, &mut unavailable, jitter, now);
         let Some(min_latency) = found.min_latency else {
-            return Err(unavailable.refusal(req, jitter));
+            return Err(Refusal {
+                recheck_in: self.recheck_cold(req, &unavailable, jitter),
+                ..unavailable.refusal(req, jitter)
+            });
         };
         let waiting = self.plain_waiting.entry(req.service.clone()).or_default();
         let place = waiting_place(waiting, req, now);
