Send nothing to an evacuated failure domain from the connection path

A request that a scheduler had placed before it knew of an evacuation, or that waited for a connection, was still sent. Where only evacuated targets serve a service, callers were told to return within 0.75 s, in vain. A scheduler that started queried the engines of the domain for their caches.

The set is now checked once more when the connection is there; nothing was sent then, so that the request goes elsewhere. Engines of the domain are not queried.

Ruled out: listing the targets of the domain as avoided in each placement request, which lengthens all of them for a window of some tens of ms.

New tests: the state, the tail of load frames, the table of eligible targets and the request path.

--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -87,7 +87,9 @@
 async fn query_engines(gateway: &Gateway, peers: &Peers) {
     let mut schedulers = peers.other_schedulers();
     schedulers.push(peers.own);
-    let engines = gateway.fleet_load().engines();
+    let mut engines = gateway.fleet_load().engines();
+    // Those of an evacuated failure domain get no requests of any kind.
+    engines.retain(|(engine, _)| !gateway.fleet_load().is_evacuated(engine));
     let assigned_engines = engines
         .into_iter()
         .filter(|(engine, _)| assigned_scheduler(engine, &schedulers) == Some(peers.own));
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -190,6 +190,14 @@
                 .await
         };
         let mut connection = acquired?;
+        // The domain may have been evacuated while the request waited for its placement by a scheduler
+        // that did not know it yet, or for the connection.
+        if gateway.fleet_load().is_evacuated(&placement.target) {
+            return Err(Failure {
+                is_cancelled: true,
+                ..Failure::new(FailurePoint::Connect, "the failure domain is evacuated")
+            });
+        }
         let req = target_request(gateway, ctx, placement, resume_after);
         let sent_at = gateway.clock.monotonic();
         match connection.send(req).await {
--- a/samphiresill-gateway/src/tests/frames.rs
+++ b/samphiresill-gateway/src/tests/frames.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use samphiresill_core::name::{DomainName, ServiceName, TargetName};
 use samphiresill_sched::fleet::event::{Event, RunResult};
 use samphiresill_sched::fleet::quarantine::{MAX_ENTRIES, Notice};
 use samphiresill_sched::fleet::request::{PlacementRequest, RunId};
 
-use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES, PlacementRequestFrame};
+use crate::knowledge::evacuations;
+use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES, PlacementRequestFrame, StoreAnswers};
 
 fn frame() -> Frame {
     let event = Event::Ended {
@@ -47,6 +49,54 @@
     assert_eq!(format!("{read:?}"), format!("{:?}", frame()));
 }
 
+fn evacuated(domain: &str, version: u64) -> evacuations::Row {
+    evacuations::Row {
+        domain: DomainName::from(domain),
+        version,
+        is_evacuated: true,
+    }
+}
+
+struct TailCase {
+    answers: StoreAnswers,
+    evacuations: Vec<evacuations::Row>,
+}
+
+const ANSWERS: StoreAnswers = StoreAnswers {
+    own_ms: Some(1_000),
+    known_ms: None,
+};
+
+/// Guards against a tail of a load frame that is lost, and against one that a peer of the previous
+/// version cannot decode: it reads the answers after the frame and ignores what follows.
+#[rstest]
+#[case::none(TailCase { answers: StoreAnswers::default(), evacuations: Vec::new() })]
+#[case::answers(TailCase { answers: ANSWERS, evacuations: Vec::new() })]
+#[case::evacuations(TailCase { answers: StoreAnswers::default(), evacuations: vec![evacuated("d1", 5)] })]
+#[case::both(TailCase { answers: ANSWERS, evacuations: vec![evacuated("d1", 5), evacuated("d2", u64::MAX)] })]
+fn a_load_frame_carries_answers_and_evacuations(#[case] case: TailCase) {
+    let frame = Frame::Load(LoadFrame {
+        answers: case.answers,
+        evacuations: case.evacuations.clone(),
+        ..LoadFrame::default()
+    });
+    let bytes = frame.encode().expect("a frame");
+    let Frame::Load(read) = Frame::decode(&bytes).expect("a frame") else {
+        panic!("not a load frame");
+    };
+    assert_eq!(
+        (read.answers, read.evacuations),
+        (case.answers, case.evacuations)
+    );
+    let (_, rest): (Frame, _) = postcard::take_from_bytes(&bytes).expect("a frame");
+    let answers = if rest.is_empty() {
+        StoreAnswers::default()
+    } else {
+        postcard::from_bytes(rest).expect("answers")
+    };
+    assert_eq!(answers, case.answers);
+}
+
 /// Truncated frames must be rejected, and decoding a frame with a changed byte must not panic.
 #[test]
 fn truncated_frames_are_rejected_and_corrupted_ones_do_not_panic() {
--- a/samphiresill-gateway/src/tests/mod.rs
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod body_budget;
 mod directory;
+mod evacuations;
 mod events;
 mod frames;
 mod framing;
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -43,10 +43,11 @@
         jitter: f64,
         now: Duration,
     ) -> Result<Placement, Refusal> {
-        let best = match req.generation {
-            Some(generation) => self.choose_engine(req, generation, jitter, now)?,
-            None => self.choose_plain(req, jitter, now)?,
+        let chosen = match req.generation {
+            Some(generation) => self.choose_engine(req, generation, jitter, now),
+            None => self.choose_plain(req, jitter, now),
         };
+        let best = chosen.map_err(|r| self.refusal_while_evacuated(r, req, jitter))?;
         let placement = Placement {
             target: best.name,
             address: best.address,
