Evacuate failure domains with samphiresillctl

A flag on each target was ruled out: targets added later would not have it. The document omits the field while nothing is evacuated, because routers of the former version reject unknown fields. They cannot read an evacuation.

The test with real routers has not run yet.

--- a/samphiresill-contract/src/change.rs
+++ b/samphiresill-contract/src/change.rs
@@ -84,6 +84,9 @@
         (Kind::Model, None) => drop(document.models.remove(&name.into())),
         (Kind::Service, None) => drop(document.services.remove(&name.into())),
         (Kind::Target, None) => drop(document.targets.remove(&name.into())),
+        (Kind::Evacuation, None) => {
+            document.evacuations.remove(&name.into());
+        }
         (Kind::Customer, Some(Object::Customer(v))) => {
             document.customers.insert(name.into(), v.clone());
         }
@@ -96,6 +99,9 @@
         (Kind::Target, Some(Object::Target(v))) => {
             document.targets.insert(name.into(), v.clone());
         }
+        (Kind::Evacuation, Some(Object::Evacuation(_))) => {
+            document.evacuations.insert(name.into());
+        }
         (kind, Some(value)) => {
             return Err(Error::invalid(
                 operation.id.to_string(),
--- a/samphiresill-contract/src/document.rs
+++ b/samphiresill-contract/src/document.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use samphiresill_core::name::{CustomerName, KeyHash, ServiceName, TargetName};
+use samphiresill_core::name::{CustomerName, DomainName, KeyHash, ServiceName, TargetName};
 use samphiresill_core::units::Share;
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,10 @@
     pub services: BTreeMap<ServiceName, object::Service>,
     /// Model engines and instances of plain services.
     pub targets: BTreeMap<TargetName, object::Target>,
+    /// Evacuated failure domains. Omitted when there are none, because routers of versions without
+    /// evacuations reject unknown fields.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuations: BTreeSet<DomainName>,
 }
 
 impl Document {
@@ -49,7 +53,17 @@
     pub fn validate(&self) -> Result<()> {
         self.validate_customers()?;
         self.validate_services()?;
-        self.validate_targets()
+        self.validate_targets()?;
+        for domain in &self.evacuations {
+            validate_name(&format!("evacuations.{domain}"), domain)?;
+        }
+        Ok(())
+    }
+
+    /// Whether a target receives no new requests: it drains, or its failure domain is evacuated.
+    #[must_use]
+    pub fn is_draining(&self, target: &object::Target) -> bool {
+        target.draining || self.evacuations.contains(&target.domain)
     }
 
     /// Returns the customer that an API key belongs to.
@@ -84,10 +98,15 @@
             .targets
             .iter()
             .map(|(n, v)| (id(Kind::Target, n), object::Object::Target(v.clone())));
+        let evacuations = self.evacuations.iter().map(|n| {
+            let value = object::Object::Evacuation(object::Evacuation {});
+            (id(Kind::Evacuation, n), value)
+        });
         customers
             .chain(models)
             .chain(services)
             .chain(targets)
+            .chain(evacuations)
             .collect()
     }
 
--- a/samphiresill-contract/src/object.rs
+++ b/samphiresill-contract/src/object.rs
@@ -111,6 +111,12 @@
     pub draining: bool,
 }
 
+/// `Evacuation` takes the failure domain of its name out of service: the targets of the domain complete
+/// their running requests and receive no new ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {}
+
 /// `Kind` is the type of an object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -124,6 +130,8 @@
     Service,
     /// A [`Target`].
     Target,
+    /// An [`Evacuation`].
+    Evacuation,
 }
 
 /// `ObjectId` identifies one object of the configuration.
@@ -148,6 +156,8 @@
     Service(Service),
     /// Value of a target.
     Target(Target),
+    /// Value of an evacuation.
+    Evacuation(Evacuation),
 }
 
 impl Object {
@@ -159,6 +169,7 @@
             Self::Model(_) => Kind::Model,
             Self::Service(_) => Kind::Service,
             Self::Target(_) => Kind::Target,
+            Self::Evacuation(_) => Kind::Evacuation,
         }
     }
 }
--- a/samphiresill-contract/src/tests.rs
+++ b/samphiresill-contract/src/tests.rs
@@ -37,6 +37,10 @@
             text: r#"{"targets":{"t":{"domain":"d","address":"127.0.0.1:1","serves":["m"],"slots":1}}}"#,
             path: "targets.t.serves",
         },
+        InvalidCase {
+            text: r#"{"evacuations":["d 1"]}"#,
+            path: "evacuations.d 1",
+        },
     ];
     for case in cases {
         match Document::from_json(case.text) {
@@ -84,3 +88,39 @@
     let third = change::apply(&first, &put_customer("a", 2, Some(1))).expect("based on the first");
     assert_eq!(third.revision, 2);
 }
+
+/// Guards against requests to targets of an evacuated failure domain, and against a document that routers
+/// of the former version reject although nothing is evacuated.
+#[test]
+fn an_evacuation_drains_the_targets_of_its_domain_until_it_is_deleted() {
+    let target = |domain: &str| object::Target {
+        domain: domain.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        serves: [].into(),
+        slots: 1,
+        checks_fencing: false,
+        draining: false,
+    };
+    let change = |value| Change {
+        change_id: format!("{value:?}"),
+        operations: vec![Operation {
+            id: ObjectId {
+                kind: Kind::Evacuation,
+                name: "d1".into(),
+            },
+            value,
+            expected: None,
+        }],
+    };
+    let base = Snapshot::default();
+    let evacuation = Some(Object::Evacuation(object::Evacuation {}));
+    let evacuated = change::apply(&base, &change(evacuation)).expect("an evacuation");
+    let is_draining = |s: &Snapshot, domain| s.document.is_draining(&target(domain));
+    assert!(is_draining(&evacuated, "d1") && !is_draining(&evacuated, "d2"));
+    let text = serde_json::to_string(&evacuated.document).expect("JSON");
+    assert_eq!(Document::from_json(&text), Ok(evacuated.document.clone()));
+    let restored = change::apply(&evacuated, &change(None)).expect("the end of it");
+    assert!(!is_draining(&restored, "d1"));
+    let text = serde_json::to_string(&restored.document).expect("JSON");
+    assert!(!text.contains("evacuations"), "{text}");
+}
--- a/samphiresill-ctl/src/apply.rs
+++ b/samphiresill-ctl/src/apply.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use getopts::Matches;
 use samphiresill_contract::document::Document;
-use samphiresill_contract::object::{Kind, Object, ObjectId};
+use samphiresill_contract::object::{Evacuation, Kind, Object, ObjectId};
 use samphiresill_proto::convert;
 use samphiresill_proto::generated::{ApplyRequest, GetReply, Operation};
 
@@ -79,6 +79,42 @@
     )
 }
 
+/// Takes a failure domain out of service. It need not have targets yet.
+pub fn evacuate(client: &mut Client, matches: &Matches, domain: &str) -> Result<(), CommandError> {
+    let current = parse_objects(&client.get()?)?;
+    let is_in_domain =
+        |object: &Object| matches!(object, Object::Target(t) if **t.domain == *domain);
+    if !current.values().any(|(object, _)| is_in_domain(object)) {
+        eprintln!("samphiresillctl: no target is in the failure domain {domain:?}");
+    }
+    let value = Object::Evacuation(Evacuation {});
+    apply_changes(
+        client,
+        matches,
+        vec![(evacuation_id(domain), Some(value), None)],
+    )
+}
+
+/// Returns an evacuated failure domain to service.
+pub fn restore(client: &mut Client, matches: &Matches, domain: &str) -> Result<(), CommandError> {
+    let current = parse_objects(&client.get()?)?;
+    let id = evacuation_id(domain);
+    let Some((_, revision)) = current.get(&id) else {
+        return Err(CommandError::usage(format!(
+            "the failure domain {domain:?} is not evacuated"
+        )));
+    };
+    let expected = Some(*revision);
+    apply_changes(client, matches, vec![(id, None, expected)])
+}
+
+fn evacuation_id(domain: &str) -> ObjectId {
+    ObjectId {
+        kind: Kind::Evacuation,
+        name: domain.to_owned(),
+    }
+}
+
 /// Applies the configuration in a file, after printing the differences.
 pub fn apply_file(client: &mut Client, matches: &Matches, file: &str) -> Result<(), CommandError> {
     let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {file}"))?;
@@ -105,7 +141,8 @@
 }
 
 /// Computes the changes that turn the current objects into those of the document. Objects that the
-/// document lacks are deleted only when `prune` is set.
+/// document lacks are deleted only when `prune` is set; evacuations are not, since the file describes the
+/// permanent configuration.
 fn diff(document: &Document, current: &CurrentObjects, prune: bool) -> Vec<ObjectChange> {
     let desired: BTreeMap<ObjectId, Object> = document.objects().into_iter().collect();
     let updated = desired
@@ -121,7 +158,9 @@
         })
         .collect();
     if prune {
-        let removed = current.keys().filter(|id| !desired.contains_key(id));
+        let removed = current
+            .keys()
+            .filter(|id| id.kind != Kind::Evacuation && !desired.contains_key(id));
         changes.extend(removed.map(|id| (id.clone(), None, Some(revision(id)))));
     }
     changes
--- a/samphiresill-ctl/src/main.rs
+++ b/samphiresill-ctl/src/main.rs
@@ -24,15 +24,17 @@
   put KIND NAME VALUE        create or change an object; VALUE in JSON
   delete KIND NAME           delete an object
   drain TARGET               send no new requests to a target; --undo resumes
+  evacuate DOMAIN            send no new requests to the targets of a failure domain
+  restore DOMAIN             return an evacuated failure domain to service
   apply FILE                 apply the configuration in FILE, JSON with comments; prints the
-                             changes first; --prune deletes objects that FILE lacks
+                             changes first; --prune deletes objects that FILE lacks, except evacuations
   timeline FILE...           log records of any processes, ordered by an aligned clock; select with
                              --request ID, --target NAME, or --from S --to S; --page HTML-FILE
                              writes an HTML page
   explain ID FILE...         explain the outcome of a request from log files
   hash-key                   read a key from standard input and print its hash
 
-KIND is customer, model, service or target.
+KIND is customer, model, service, target or evacuation.
 
 Exit codes: 0 success, 1 the fleet or the platform is unavailable, 2 the command line or a value is
 not valid, 3 conflict with another change, 4 committed but not in force on all routers in time.
@@ -173,6 +175,8 @@
             )
         }
         ["drain", target] => apply::drain(&mut connect(matches)?, matches, target),
+        ["evacuate", domain] => apply::evacuate(&mut connect(matches)?, matches, domain),
+        ["restore", domain] => apply::restore(&mut connect(matches)?, matches, domain),
         ["apply", file] => apply::apply_file(&mut connect(matches)?, matches, file),
         _ => Err(CommandError::usage(format!(
             "unknown command {:?}; see --help",
@@ -207,11 +211,17 @@
 }
 
 fn parse_kind(text: &str) -> Result<Kind, CommandError> {
-    let kinds = [Kind::Customer, Kind::Model, Kind::Service, Kind::Target];
+    let kinds = [
+        Kind::Customer,
+        Kind::Model,
+        Kind::Service,
+        Kind::Target,
+        Kind::Evacuation,
+    ];
     let found = kinds.into_iter().find(|k| k.to_string() == text);
     found.ok_or_else(|| {
         CommandError::usage(format!(
-            "unknown kind {text:?}; expected customer, model, service or target"
+            "unknown kind {text:?}; expected customer, model, service, target or evacuation"
         ))
     })
 }
@@ -229,6 +239,7 @@
         Kind::Model => serde_json::from_str(text).map(Object::Model),
         Kind::Service => serde_json::from_str(text).map(Object::Service),
         Kind::Target => serde_json::from_str(text).map(Object::Target),
+        Kind::Evacuation => serde_json::from_str(text).map(Object::Evacuation),
     };
     parsed.map_err(|e| CommandError::usage(format!("not a valid {kind}: {e}")))
 }
--- a/samphiresill-ctl/src/output.rs
+++ b/samphiresill-ctl/src/output.rs
@@ -18,6 +18,7 @@
         let all = json!({
             "vm": response.vm, "revision": response.revision, "routers": routers,
             "waiting": response.waiting, "running": response.running, "pools": response.pools,
+            "evacuated": response.evacuated,
         });
         println!("{all}");
         return;
@@ -26,6 +27,9 @@
         "router {} at revision {}: {} waiting, {} running, {} pools",
         response.vm, response.revision, response.waiting, response.running, response.pools
     );
+    if !response.evacuated.is_empty() {
+        println!("evacuated: {}", response.evacuated.join(", "));
+    }
     println!("{:24} {:16} REVISION", "ROUTER", "DOMAIN");
     for router in &response.routers {
         println!("{:24} {:16} {}", router.vm, router.domain, router.revision);
@@ -78,5 +82,6 @@
         Object::Model(v) => json!(v),
         Object::Service(v) => json!(v),
         Object::Target(v) => json!(v),
+        Object::Evacuation(v) => json!(v),
     }
 }
--- a/samphiresill-experiment/src/capacity.rs
+++ b/samphiresill-experiment/src/capacity.rs
@@ -229,6 +229,7 @@
             .collect(),
         models: [(sample_pool().work, model)].into(),
         services: BTreeMap::new(),
+        evacuations: [].into(),
         targets: (0..targets)
             .map(|n| (format!("target-{n:04}").into(), target(n)))
             .collect(),
--- a/samphiresill-experiment/src/fairness/deployment.rs
+++ b/samphiresill-experiment/src/fairness/deployment.rs
@@ -174,6 +174,7 @@
                 .collect(),
             models: [(ServiceName::from(MODEL), model)].into(),
             services: BTreeMap::new(),
+            evacuations: [].into(),
             targets: self
                 .targets
                 .iter()
--- a/samphiresill-proto/src/convert.rs
+++ b/samphiresill-proto/src/convert.rs
@@ -15,6 +15,7 @@
         Kind::Model => generated::Kind::Model,
         Kind::Service => generated::Kind::Service,
         Kind::Target => generated::Kind::Target,
+        Kind::Evacuation => generated::Kind::Evacuation,
     }
 }
 
@@ -28,10 +29,11 @@
         Ok(generated::Kind::Model) => Ok(Kind::Model),
         Ok(generated::Kind::Service) => Ok(Kind::Service),
         Ok(generated::Kind::Target) => Ok(Kind::Target),
+        Ok(generated::Kind::Evacuation) => Ok(Kind::Evacuation),
         Ok(generated::Kind::Unspecified) | Err(_) => Err(Error::invalid(
             "object.kind",
             kind.to_string(),
-            "customer, model, service or target",
+            "customer, model, service, target or evacuation",
         )),
     }
 }
@@ -76,6 +78,7 @@
             checks_fencing: t.checks_fencing,
             draining: t.draining,
         }),
+        object::Object::Evacuation(_) => Value::Evacuation(generated::Evacuation {}),
     }
 }
 
@@ -133,6 +136,7 @@
             checks_fencing: t.checks_fencing,
             draining: t.draining,
         }),
+        Value::Evacuation(_) => object::Object::Evacuation(object::Evacuation {}),
     })
 }
 
--- a/samphiresill-sched/src/topology.rs
+++ b/samphiresill-sched/src/topology.rs
@@ -48,7 +48,7 @@
                 let model = document.models.get(service);
                 let config = TargetConfig {
                     slots: target.slots,
-                    draining: target.draining,
+                    draining: document.is_draining(target),
                     first_token_ms: model.map_or(0, |m| m.first_token_ms),
                     between_tokens_ms: model.map_or(0, |m| m.between_tokens_ms),
                 };
--- a/samphiresill/src/operators/mod.rs
+++ b/samphiresill/src/operators/mod.rs
@@ -147,9 +147,12 @@
             revision: revisions.get(vm).copied().unwrap_or(0),
         };
         let gauges = self.shared.dispatcher.gauges();
+        let current = self.shared.config.current();
+        let evacuated = current.document.evacuations.iter();
         Ok(Response::new(StatusReply {
             vm: self.shared.settings.vm.to_string(),
-            revision: self.shared.config.current().revision,
+            revision: current.revision,
+            evacuated: evacuated.map(ToString::to_string).collect(),
             routers: usable.keys().map(router).collect(),
             waiting: gauges.waiting.load(Ordering::Relaxed) as u64,
             running: gauges.running.load(Ordering::Relaxed) as u64,
