--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -50,10 +50,11 @@
             });
         }
         self.count_cold_diversion(req, now);
-        let best = match req.generation {
-            Some(generation) => self.choose_engine(req, generation, jitter, now)?,
-            None => self.choose_plain(req, jitter, now)?,
+        let chosen = match req.generation {
+            Some(generation) => self.choose_engine(req, generation, jitter, now),
+            None => self.choose_plain(req, jitter, now),
         };
+        let best = chosen.map_err(|r| self.refusal_while_evacuated(r, req, jitter))?;
         let placement = Placement {
             target: best.name,
             address: best.address,
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod cold_start;
 mod decisions;
+mod eligibility;
 mod fleet_load;
 mod learning;
 mod patterns;
