Measure shares by the stated throughput of the fleet

The fair level followed the service of the last seconds, so that refusals lowered the level that caused them: customers were refused as above their share of a throughput that the fleet could have exceeded.

FleetLoad::set_targets now passes limits.fleet_tokens_per_s to the shares. A customer is above its share only when it has received more than the max-min level of the larger of the stated throughput and the service. Below the level of the service the bounds are as before. Without a stated figure nothing changes.

Ruled out: that one level for the bounds below it too.

--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -130,6 +130,8 @@
     /// until the target restarts or changes its service.
     pub fn set_targets(&mut self, entries: &[TargetEntry], table: &RoutingTable) {
         self.directives.set_targets(entries);
+        self.shares
+            .set_stated_throughput(table.limits.fleet_tokens_per_s);
         self.plain_waiting
             .retain(|service, _| table.services.contains_key(service));
         let mut old = std::mem::take(&mut self.targets);
--- a/samphiresill-sched/src/fleet/shares.rs
+++ b/samphiresill-sched/src/fleet/shares.rs
@@ -3,6 +3,10 @@
 //! Handles the load pattern in which one or a few customers send many times their usual load: under
 //! overload, a customer that has received more service than the max-min fair level is refused
 //! before one that has received less.
+//!
+//! The service of the last seconds also falls when requests are refused, and with it the fair level. Where
+//! the operators state the throughput of the fleet, a customer therefore counts as above its share only
+//! when it has received more than the fair level of that throughput.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -37,6 +41,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     usages: BTreeMap<CustomerName, Usage>,
+    /// Throughput of the fleet as stated by the operators, in weighted tokens per second.
+    stated_per_s: Option<u64>,
 }
 
 impl Shares {
@@ -50,6 +56,11 @@
         self.usage(customer, now).served += cost as f64;
     }
 
+    /// Sets the throughput of the fleet that the operators state, in weighted tokens per second.
+    pub fn set_stated_throughput(&mut self, tokens_per_s: Option<u64>) {
+        self.stated_per_s = tokens_per_s;
+    }
+
     /// Returns the recent demand of a customer, in weighted tokens, as of its last change.
     #[must_use]
     pub fn demand(&self, customer: &CustomerName) -> f64 {
@@ -57,31 +68,41 @@
     }
 
     /// Returns the service of a customer relative to the max-min fair level; 1 at the level.
+    ///
+    /// Below 1, the level is that of the throughput served; above 1, that of the larger of the stated
+    /// throughput and the throughput served. Between the two levels the result is 1.
     pub fn ratio(&mut self, customer: &CustomerName, now: Duration) -> f64 {
         for usage in self.usages.values_mut() {
             usage.decay(now);
         }
         self.usages
             .retain(|_, u| u.demanded > MIN_USAGE || u.served > MIN_USAGE);
-        let fair_level = self.fair_level();
+        let total: f64 = self.usages.values().map(|u| u.served).sum();
         let served = self.usages.get(customer).map_or(0.0, |u| u.served);
-        if fair_level > 0.0 {
-            served / fair_level
-        } else {
-            0.0
+        let fair_level = self.fair_level(total);
+        if fair_level <= 0.0 {
+            return 0.0;
+        }
+        let ratio = served / fair_level;
+        // A constant rate amounts to this usage when it is decayed.
+        let stated =
+            self.stated_per_s.map_or(0.0, |rate| rate as f64) * DECAY_TIME_CONSTANT.as_secs_f64();
+        if ratio <= 1.0 || stated <= total {
+            return ratio;
         }
+        (served / self.fair_level(stated)).max(1.0)
     }
 
     /// Returns the max-min fair level: the bound on each customer's demand at which the bounded
-    /// demands add up to the total service.
-    fn fair_level(&self) -> f64 {
+    /// demands add up to `throughput`.
+    fn fair_level(&self, throughput: f64) -> f64 {
         let mut demanded: Vec<f64> = self
             .usages
             .values()
             .map(|u| u.demanded.max(u.served))
             .collect();
         demanded.sort_by(f64::total_cmp);
-        let mut remaining: f64 = self.usages.values().map(|u| u.served).sum();
+        let mut remaining = throughput;
         let mut fair_level = 0.0;
         for (index, demand) in demanded.iter().enumerate() {
             let equal_share = remaining / (demanded.len() - index) as f64;
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -9,4 +9,5 @@
 mod quarantine;
 mod rate_limit;
 mod simulation;
+mod stated_shares;
 mod whole_request;
