Test rejections of plain targets, and drop the estimate of overdue requests

The mechanism is removed. The order of arrival, the closing of a rejecting target and the rise of its room had no test that failed without them.

--- a/samphiresill-sched/src/fleet/load/place_plain.rs
+++ b/samphiresill-sched/src/fleet/load/place_plain.rs
@@ -111,7 +111,7 @@
                 unavailable.limited(wait);
                 continue;
             }
-            let expected = load.expected_latency(now);
+            let expected = load.expected_latency();
             let free = load.free(now);
             found.free += free;
             found.max_per_s += load.max_per_s();
--- a/samphiresill-sched/src/fleet/plain.rs
+++ b/samphiresill-sched/src/fleet/plain.rs
@@ -7,9 +7,6 @@
 //! Also handles the load pattern in which requests pile up and then stop: the average is of the time
 //! that a request takes on an idle target, and a target with a free slot is never refused for it, so
 //! that a high average is corrected by the next requests instead of refusing them all.
-//!
-//! A target that is temporarily slow is recognised by the requests that should have ended: they raise
-//! the expected latency before any of them is answered.
 
 pub mod rate;
 pub mod room;
@@ -26,8 +23,6 @@
 const INITIAL_LATENCY_MS: f64 = 30.0;
 /// Weight of the newest sample in the moving average of the latency.
 const EWMA_WEIGHT: f64 = 0.1;
-/// Multiple of its expected latency after which a request counts as overdue.
-const OVERDUE_FACTOR: f64 = 2.0;
 
 /// `Run` is a request on the target.
 #[derive(Clone, Copy, Debug)]
@@ -71,15 +66,8 @@
 
     /// Returns the expected latency of a new request.
     #[must_use]
-    pub fn expected_latency(&self, now: Duration) -> Duration {
-        let is_overdue = |run: &&Run| {
-            let expected_ms = self.latency_ms * run.load_factor * OVERDUE_FACTOR;
-            now.saturating_sub(run.sent_at).as_secs_f64() * 1_000.0 > expected_ms
-        };
-        let overdue = self.runs.values().filter(is_overdue).count() as f64;
-        let slowness = 1.0 + overdue / f64::from(self.slots);
-        let latency_ms = self.latency_ms * self.load_factor(self.runs.len()) * slowness;
-        Duration::from_secs_f64(latency_ms / 1_000.0)
+    pub fn expected_latency(&self) -> Duration {
+        Duration::from_secs_f64(self.latency_ms * self.load_factor(self.runs.len()) / 1_000.0)
     }
 
     /// Returns the number of requests that the target ends in a second while all of its slots are in
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -6,6 +6,7 @@
 mod learning;
 mod patterns;
 mod plain_bursts;
+mod plain_rejections;
 mod quarantine;
 mod rate_limit;
 mod simulation;
