Let repeated requests wait for full plain targets until their deadline

A request whose first run had failed was refused like a new one when all targets of a plain service were full, and its caller got a 502. It now waits as long as the deadline allows. Requests that arrive at the same instant now count as being ahead of each other.

--- a/samphiresill-sched/src/fleet/load/place_plain.rs
+++ b/samphiresill-sched/src/fleet/load/place_plain.rs
@@ -68,7 +68,7 @@
         let turn_in = Duration::from_secs_f64(turns as f64 / per_s);
         let delay = turn_in + min_latency;
         let time_left = req.time_left.mul_f64(MAX_DELAY_FRACTION);
-        let max_delay = if place.is_new {
+        let max_delay = if place.is_new && !req.has_run {
             time_left.min(max_new_delay(req, min_latency))
         } else {
             time_left
@@ -152,10 +152,16 @@
         waiting.take(arrived_at)
     };
     let arrived_at = recorded.unwrap_or(arrived_at);
+    // All others are ahead of a request that arrives now, also those of the same instant.
+    let before = if req.waited.is_zero() {
+        Duration::MAX
+    } else {
+        arrived_at
+    };
     Place {
         arrived_at,
         is_new: recorded.is_none(),
-        ahead: waiting.ahead(arrived_at, now),
+        ahead: waiting.ahead(before, now),
     }
 }
 
--- a/samphiresill-sched/src/fleet/tests/plain_rejections.rs
+++ b/samphiresill-sched/src/fleet/tests/plain_rejections.rs
@@ -31,6 +31,15 @@
     fleet_load: &mut FleetLoad,
     waited: Duration,
     now: Duration,
+) -> Result<Placement, Refusal> {
+    place_run(fleet_load, waited, false, now)
+}
+
+fn place_run(
+    fleet_load: &mut FleetLoad,
+    waited: Duration,
+    has_run: bool,
+    now: Duration,
 ) -> Result<Placement, Refusal> {
     let req = PlacementRequest {
         customer: None,
@@ -43,7 +52,7 @@
         avoided: &[],
         is_first_attempt: waited.is_zero(),
         waited,
-        has_run: false,
+        has_run,
     };
     let run = fleet_load.next_run();
     fleet_load.place(&req, run, 0.5, now)
@@ -118,3 +127,17 @@
     place(&mut fleet_load, Duration::ZERO, now).expect_err("one request is ahead");
     place(&mut fleet_load, pause, now).expect("its turn");
 }
+
+/// Guards against a repeated request that is lost because the targets are full when its first run fails:
+/// it waits when a new one is refused.
+#[test]
+fn a_request_that_has_run_waits_until_its_deadline() {
+    let mut fleet_load = scheduler(1, 1);
+    drop(fill(&mut fleet_load, SECOND));
+    let attempts = (0..200).map(|_| place(&mut fleet_load, Duration::ZERO, SECOND));
+    let refusals: Vec<Refusal> = attempts.filter_map(Result::err).collect();
+    let last = refusals.last().expect("a refusal");
+    assert!(last.recheck_in.is_none(), "the backlog is full: {last:?}");
+    let repeated = place_run(&mut fleet_load, Duration::ZERO, true, SECOND);
+    assert!(repeated.expect_err("no room").recheck_in.is_some());
+}
