--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -143,6 +143,8 @@
     pub fn set_targets(&mut self, entries: &[TargetEntry], table: &RoutingTable) {
         self.directives.set_targets(entries);
         let pause_objectives = table.event_interval_objectives();
+        self.shares
+            .set_stated_throughput(table.limits.fleet_tokens_per_s);
         self.plain_waiting
             .retain(|service, _| table.services.contains_key(service));
         self.cold_starts.set_targets(entries, table);
