Send no request to an engine that it exceeds, and tell slow callers from stalled targets

An engine without runs accepted any request; one whose prompt and output exceed the whole KV memory crashes it. has_capacity now refuses these (no room).

A run whose response is not read, because its caller does not take it, made its target seem stalled to all gateways. FleetLoad::hold_run and resume_run exclude it; record_stall publishes a target that does not read a request, by the existing event.

started_ms is only compared for equality: the test of a target that starts again now has four cases in place of one, with its clock going forward, back and back again, and checks the same counts.

--- a/samphiresill-sched/src/fleet/engine.rs
+++ b/samphiresill-sched/src/fleet/engine.rs
@@ -145,13 +145,15 @@
     }
 
     /// Returns whether the engine has a free slot and enough free memory for the request. An engine
-    /// without runs accepts any request.
+    /// without runs accepts any request that its whole memory holds; others would crash it.
     #[must_use]
     pub fn has_capacity(&self, generation: &Generation) -> bool {
         let memory = f64::from(self.spec.kv_cache_tokens) * MAX_MEMORY_FRACTION;
-        self.runs.is_empty()
-            || (self.runs.len() < self.spec.slots as usize
-                && (self.memory_tokens + generation.memory_tokens()) as f64 <= memory)
+        if self.runs.is_empty() {
+            return generation.fits(&self.spec);
+        }
+        self.runs.len() < self.spec.slots as usize
+            && (self.memory_tokens + generation.memory_tokens()) as f64 <= memory
     }
 
     /// Returns the length of the cached prefix of a prompt, in tokens.
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -13,6 +13,7 @@
 pub mod place;
 mod place_engine;
 mod place_plain;
+mod stalls;
 mod target;
 mod unavailable;
 
@@ -190,7 +191,8 @@
     pub fn end(&mut self, placement: &Placement, result: RunResult, now: Duration) {
         if let Some(target) = self.targets.get_mut(&placement.target) {
             target.own_runs.remove(&placement.run);
-            if target.own_runs.is_empty() {
+            target.held_runs.remove(&placement.run);
+            if !target.is_awaited() {
                 target.health.record_idle();
             }
         }
--- a/samphiresill-sched/src/fleet/load/target.rs
+++ b/samphiresill-sched/src/fleet/load/target.rs
@@ -26,6 +26,8 @@
     pub(super) health: Health,
     /// Runs of this router on the target.
     pub(super) own_runs: BTreeSet<RunId>,
+    /// Those of them that this router does not read at the moment. At most `own_runs`.
+    pub(super) held_runs: BTreeSet<RunId>,
 }
 
 impl Target {
@@ -39,9 +41,15 @@
             load,
             health: Health::default(),
             own_runs: BTreeSet::new(),
+            held_runs: BTreeSet::new(),
         }
     }
 
+    /// Returns whether this router waits for bytes of a run on the target.
+    pub(super) fn is_awaited(&self) -> bool {
+        self.own_runs.len() > self.held_runs.len()
+    }
+
     /// Returns whether `entry` describes the same instance: one start of the target for one
     /// service.
     pub(super) fn is_same_instance(&self, entry: &TargetEntry) -> bool {
--- a/samphiresill-sched/src/fleet/request.rs
+++ b/samphiresill-sched/src/fleet/request.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 use samphiresill_core::name::{CustomerName, DomainName, ServiceName, TargetName};
+use samphiresill_core::routing::EngineSpec;
 use serde::{Deserialize, Serialize};
 
 /// Weight of a generated token relative to a prompt token, as in the operators' capacity figure.
@@ -89,6 +90,12 @@
     pub fn memory_tokens(&self) -> u64 {
         u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
     }
+
+    /// Returns whether the whole KV cache memory of an engine holds the request.
+    #[must_use]
+    pub fn fits(&self, spec: &EngineSpec) -> bool {
+        self.memory_tokens() <= u64::from(spec.kv_cache_tokens)
+    }
 }
 
 /// `PlacementRequest` is a request that is to be placed on a target.
--- a/samphiresill-sched/src/fleet/tests/fleet_load.rs
+++ b/samphiresill-sched/src/fleet/tests/fleet_load.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rstest::rstest;
 use samphiresill_core::name::DomainName;
 use samphiresill_core::routing::TargetState;
 
 use super::simulation::{Request, entry, fleet_load, service, table};
+use crate::fleet::admission::Reason;
 use crate::fleet::event::{Event, RunResult};
 use crate::fleet::load::{FleetLoad, Placement};
 use crate::fleet::request::RunId;
@@ -115,17 +117,69 @@
     }
 }
 
+/// The wall clock of a target may jump between its starts, so that the time of its start only tells one
+/// instance from another.
+#[rstest]
+#[case::forward(&[50_000, 55_000])]
+#[case::back(&[50_000, 45_000])]
+#[case::back_and_forward(&[50_000, 45_000, 48_000])]
+#[case::since_1970(&[50_000, 0])]
+fn a_target_that_started_again_has_no_runs_and_caches_no_prompts(#[case] starts: &[u64]) {
+    let mut fleet_load = fleet_load(1, 1);
+    for started_ms in starts {
+        let mut restarted = entry(0);
+        restarted.started_ms = *started_ms;
+        let name = restarted.name.clone();
+        fleet_load.set_targets(&[restarted], &table());
+        let estimate = place(&mut fleet_load, 1, SECOND)
+            .estimate
+            .expect("an estimate");
+        assert_eq!((estimate.runs, estimate.prefill_tokens), (0, 7_000));
+        fleet_load.record_leaving(&name, started_ms + 1, SECOND);
+        place(&mut fleet_load, 2, SECOND);
+    }
+}
+
+/// Guards against a caller that reads nothing and whose target, which cannot write, seems to have
+/// stalled; a target that another run waits for still does.
 #[test]
-fn a_target_that_started_again_has_no_runs_and_caches_no_prompts() {
+fn a_run_that_is_not_read_does_not_make_its_target_seem_stalled() {
     let mut fleet_load = fleet_load(1, 1);
-    place(&mut fleet_load, 1, SECOND);
-    let mut restarted = entry(0);
-    restarted.started_ms = 5;
-    fleet_load.set_targets(&[restarted], &table());
-    let estimate = place(&mut fleet_load, 1, SECOND)
-        .estimate
-        .expect("an estimate");
-    assert_eq!((estimate.runs, estimate.prefill_tokens), (0, 7_000));
+    let unread = place(&mut fleet_load, 1, SECOND);
+    fleet_load.progress(&unread, SECOND);
+    fleet_load.hold_run(&unread);
+    assert_eq!(fleet_load.unusable(SECOND * 5).len(), 0);
+    let awaited = place(&mut fleet_load, 2, SECOND * 5);
+    assert_eq!(fleet_load.unusable(SECOND * 7).len(), 1);
+    fleet_load.end(&awaited, RunResult::Unknown, SECOND * 7);
+    assert_eq!(fleet_load.unusable(SECOND * 9).len(), 0);
+    fleet_load.resume_run(&unread, SECOND * 9);
+    assert_eq!(fleet_load.unusable(SECOND * 11).len(), 1);
+    fleet_load.hold_run(&unread);
+    fleet_load.end(&unread, RunResult::Unknown, SECOND * 11);
+    fleet_load.record_stall(&unread.target, SECOND * 12);
+    assert_eq!(fleet_load.unusable(SECOND * 12).len(), 1);
+    let is_published = |e: &Event| matches!(e, Event::Stalled { .. });
+    assert!(fleet_load.take_events().iter().any(is_published));
+}
+
+/// Guards against a request that an idle engine gets although it exceeds the engine's whole memory of
+/// 400,000 tokens.
+#[rstest]
+#[case::fits(399_000, None)]
+#[case::too_large(399_001, Some(Reason::NoRoom))]
+fn an_idle_engine_gets_only_what_its_memory_holds(
+    #[case] prompt_tokens: u32,
+    #[case] refusal: Option<Reason>,
+) {
+    let mut fleet_load = fleet_load(1, 2);
+    let mut request = Request::new("a", (1, 5_000), (1_001, 2_000), 1_000);
+    request.generation.prompt_tokens = prompt_tokens;
+    let (service, domain) = (service(), DomainName::from("d0"));
+    let run = fleet_load.next_run();
+    let req = request.placement_request(&service, &domain);
+    let placed = fleet_load.place(&req, run, 0.5, SECOND);
+    assert_eq!(placed.err().map(|r| r.reason), refusal);
 }
 
 #[test]
