Instance ids and incarnations that bear a wall clock that jumps

The instance id of a gateway was derived from the wall clock: two starts before 1970 had the same one. It is random now. A process that started before 1970 had the incarnation 0, which stands for a router of which only the address is known; it counts from 1 ms now (Incarnation::starting_at).

Tests with clocks that go forward, back and back again: a restarted process is used by all within two seconds; no jump runs a claimed idempotency key again. Ruled out: an incarnation without the wall clock, since nothing else that a process without a disk knows grows from one start to the next.

Open: a node of the project's own interface that restarts after a step back is ignored for four leases (docs/design/slow-readers.md).

--- a/samphiresill-attempt/src/tests.rs
+++ b/samphiresill-attempt/src/tests.rs
@@ -4,6 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rstest::rstest;
 use samphiresill_core::outcome::{Outcome, Refusal};
 
 use crate::assembly::{Assembly, AssemblyError};
@@ -159,6 +160,36 @@
     LostAfter,
 }
 
+/// Guards against wall clocks that jump by seconds between the routers that see a claim, or while one
+/// does: no jump lets a key run twice, and a recorded response is replayed whatever the time.
+#[rstest]
+#[case::forward(&[1_000_000, 1_070_000])]
+#[case::back(&[1_000_000, 930_000])]
+#[case::forward_and_back(&[1_000_000, 1_070_000, 930_000, 1_000_000])]
+#[case::before_the_claim(&[1_000_000, 0])]
+fn no_jump_of_the_clock_runs_a_claimed_key_again(#[case] clock_ms: &[u64]) {
+    let mut row = Claim {
+        since_ms: clock_ms[0],
+        ..claim_of("first")
+    };
+    let (mut second, _) = Claimant::new(claim_of("second"));
+    for now_ms in clock_ms {
+        let step = second.next(Reply::Row(Some((7, row.clone()))), *now_ms);
+        let refused = [Refusal::InProgress, Refusal::KeyUnknown].map(Step::Refuse);
+        assert!(refused.contains(&step), "{step:?} at {now_ms}");
+    }
+    let recorded = Recorded {
+        status: 200,
+        content_type: String::new(),
+        body: "done".into(),
+    };
+    row.state = State::Answered(recorded.clone());
+    for now_ms in clock_ms {
+        let step = second.next(Reply::Row(Some((8, row.clone()))), *now_ms);
+        assert_eq!(step, Step::Replay(recorded.clone()), "at {now_ms}");
+    }
+}
+
 /// State of the exhaustive exploration: one row, and the claimants with their next steps.
 #[derive(Clone)]
 struct Exploration {
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::Duration;
 
 use samphiresill_core::name::{TargetName, VmName};
 use samphiresill_member::member::{Health, Incarnation, Member};
@@ -79,16 +79,12 @@
         let settings = gateway.settings.load_full();
         let now = gateway.clock.monotonic();
         let instance_id = gateway.fleet_load().origin();
-        let wall = gateway.clock.wall().duration_since(UNIX_EPOCH);
         let own = Member {
             vm: member_name(settings.listen.peers),
             domain: settings.domain.clone(),
             address: settings.listen.peers,
             strength: settings.limits.millicores(),
-            incarnation: Incarnation {
-                start_ms: wall.unwrap_or_default().as_millis() as u64,
-                refutations: 0,
-            },
+            incarnation: Incarnation::starting_at(gateway.clock.wall()),
             health: Health::Alive,
         };
         let seeds = settings.seeds.iter().map(|address| Member {
--- a/samphiresill-member/src/member.rs
+++ b/samphiresill-member/src/member.rs
@@ -1,6 +1,7 @@
 //! State of one router in a membership view, and the order of updates about it.
 
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
 use samphiresill_core::name::{DomainName, VmName};
@@ -19,6 +20,22 @@
     pub refutations: u32,
 }
 
+impl Incarnation {
+    /// Creates the incarnation of a process that starts at this wall-clock time. Where that is not after
+    /// the last start, because the clock was set back, the process refutes what others know of the last
+    /// one.
+    #[must_use]
+    pub fn starting_at(wall: SystemTime) -> Self {
+        let since_epoch = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            // 0 stands for a router of which only the address is known.
+            start_ms: ms.max(1),
+            refutations: 0,
+        }
+    }
+}
+
 /// `Health` is the state of a member. Within one incarnation, later variants override earlier ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[display(rename_all = "lowercase")]
--- a/samphiresill-member/src/tests.rs
+++ b/samphiresill-member/src/tests.rs
@@ -1,8 +1,9 @@
 //! Membership views of simulated routers under message loss, partitions, pauses and restarts.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
+use rstest::rstest;
 use samphiresill_core::name::VmName;
 
 use crate::member::{Health, Incarnation, Member};
@@ -176,6 +177,48 @@
     assert_eq!(known.incarnation.start_ms, 2);
 }
 
+/// Guards against a wall clock that jumps between two starts of a process: what others know of an
+/// earlier start must not hide it, whether it stopped long before or just now. Times in ms.
+#[rstest]
+#[case::forward(&[50_000, 55_000], Duration::from_secs(5))]
+#[case::back(&[50_000, 45_000], Duration::from_secs(5))]
+#[case::back_at_once(&[50_000, 45_000], Duration::ZERO)]
+#[case::back_and_forward(&[50_000, 45_000, 55_000], Duration::from_secs(5))]
+#[case::forward_and_back(&[50_000, 55_000, 50_000], Duration::ZERO)]
+#[case::the_same_again(&[50_000, 50_000], Duration::from_secs(5))]
+#[case::before_1970(&[50_000, -5_000], Duration::from_secs(5))]
+#[case::twice_before_1970(&[-5_000, -6_000], Duration::from_secs(5))]
+fn a_process_is_used_again_whatever_its_clock_says(
+    #[case] starts: &[i64],
+    #[case] absence: Duration,
+) {
+    let mut group = Group::new(5);
+    group.run(Duration::from_secs(10));
+    for (seed, start_ms) in (77..).zip(starts) {
+        let offset = Duration::from_millis(start_ms.unsigned_abs());
+        let wall = if *start_ms < 0 {
+            UNIX_EPOCH - offset
+        } else {
+            UNIX_EPOCH + offset
+        };
+        let own = Member {
+            incarnation: Incarnation::starting_at(wall),
+            ..member(4, 0)
+        };
+        group.unresponsive.insert("r4".into());
+        group.run(absence);
+        group.unresponsive.remove(&VmName::from("r4"));
+        let seeds = vec![member(0, 0), member(1, 0)];
+        let view = Membership::new(own, seeds, Options::default(), seed);
+        group.views.insert("r4".into(), view);
+        // As long as a process with a sound clock may take.
+        group.run(Duration::from_secs(2));
+        group.assert_all_usable(5);
+        group.run(Duration::from_secs(5));
+        group.assert_all_usable(5);
+    }
+}
+
 #[test]
 fn a_leaving_router_is_no_longer_used() {
     let mut group = Group::new(5);
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::Duration;
 
 use anyhow::Context;
 use getopts::Options;
@@ -91,7 +91,9 @@
         Arc::clone(&routing_state),
         Arc::clone(&clock),
     ));
-    let instance_id = new_instance_id(&settings, clock.as_ref());
+    // Random, so that it differs between the processes of the fleet and between restarts of one process,
+    // also when the wall clock is set back between them.
+    let instance_id = rand::random();
     let peers = Arc::new(Peers::bind(settings.listen.peers).await?);
     let gateway = Gateway::new(settings, clock, dialect, routing_state, peers, instance_id)?;
     let quarantine = Arc::new(QuarantineTable::new(store, Arc::clone(&gateway)));
@@ -113,16 +115,6 @@
     gateway.run(stop).await
 }
 
-/// Derives the instance id from the VM name and the start time, so that it differs between the
-/// processes of the fleet and between restarts of one process.
-fn new_instance_id(settings: &Settings, clock: &dyn Clock) -> u64 {
-    let started_at = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let name = format!("{} {}", settings.vm, started_at.as_nanos());
-    let hash = samphiresill_core::name::KeyHash::of_key(&name);
-    let digits: &str = hash.as_ref();
-    u64::from_str_radix(&digits[..16], 16).expect("invariant: a hash is written in hexadecimal")
-}
-
 /// Reloads the settings file when its content changes, on SIGHUP or at the next poll. Settings that
 /// cannot be read or are not valid leave the current ones in force.
 async fn watch_settings(gateway: Arc<Gateway>, path: String, logging: Logging) {
