--- a/samphiresill-sched/src/fleet/tests/pauses.rs
+++ b/samphiresill-sched/src/fleet/tests/pauses.rs
@@ -21,7 +21,7 @@
         simulation.set_pause_objective(PAUSE_OBJECTIVE);
     }
     let mut sizes = Vec::new();
-    simulation.run(26.0, Duration::from_secs(60), |rng| {
+    simulation.run(26.0, Duration::from_mins(1), |rng| {
         let is_long = rng.random_range(0..8) == 0;
         sizes.push(is_long);
         let (own, output) = if is_long { (20_000, 100) } else { (1_500, 300) };
