Bound what a gateway holds for callers and targets that read slowly

A stream also ends at its deadline while bytes are always ready. - Its target seemed stalled. The run is held while it is not read. - Streams counted against no memory. Each reserves 64 KiB, chunks count until they are written, and buffers count what they allocate. Without memory, the target is not read. - Lack of memory here was reported as a failure of the target. - A target that does not read a body looked like one that crashed. It counts as a stall now (504 in place of 502). A connection with an unsent body went back to the pool, uncounted; it is closed. - A request beyond an engine's whole KV memory was sent to an idle engine. It gets 413, without a time to retry at.

Ruled out: the queue of the semaphore for those that wait for memory, since it collects what is released for the first one; a reset of a target's connection, since the bounded send buffer and the user timeout suffice.

--- a/samphiresill-gateway/src/callers/activity.rs
+++ b/samphiresill-gateway/src/callers/activity.rs
@@ -26,8 +26,16 @@
     is_head_pending: AtomicBool,
     /// Whether a response is being written whose end only the close of the connection marks.
     has_unframed_response: AtomicBool,
+    /// Monotonic time in milliseconds since which the caller has taken no byte of a response that
+    /// waits for it; `NOT_BLOCKED` when none waits.
+    blocked_since_ms: AtomicU64,
+    /// Whether the connection is being cut off.
+    is_cut_off: AtomicBool,
 }
 
+/// Value of `blocked_since_ms` while no response waits for the caller.
+const NOT_BLOCKED: u64 = u64::MAX;
+
 impl ConnectionActivity {
     /// Starts tracking a connection that was just accepted.
     #[must_use]
@@ -39,6 +47,8 @@
             since_ms: AtomicU64::new(now),
             is_head_pending: AtomicBool::new(false),
             has_unframed_response: AtomicBool::new(false),
+            blocked_since_ms: AtomicU64::new(NOT_BLOCKED),
+            is_cut_off: AtomicBool::new(false),
         }
     }
 
@@ -62,6 +72,34 @@
         }
     }
 
+    /// How long the caller has taken no byte of a response that waits for it.
+    #[must_use]
+    pub fn blocked_for(&self) -> Duration {
+        match self.blocked_since_ms.load(Ordering::Relaxed) {
+            NOT_BLOCKED => Duration::ZERO,
+            since => self
+                .clock
+                .monotonic()
+                .saturating_sub(Duration::from_millis(since)),
+        }
+    }
+
+    /// Lets the connection be reset when it is dropped, so that the kernel does not keep what the
+    /// caller has not taken.
+    pub fn cut_off(&self) {
+        self.is_cut_off.store(true, Ordering::Relaxed);
+    }
+
+    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        let was_blocked = self.blocked_since_ms.load(Ordering::Relaxed) != NOT_BLOCKED;
+        if polled.is_pending() && !was_blocked {
+            let now = self.clock.monotonic().as_millis() as u64;
+            self.blocked_since_ms.store(now, Ordering::Relaxed);
+        } else if polled.is_ready() && was_blocked {
+            self.blocked_since_ms.store(NOT_BLOCKED, Ordering::Relaxed);
+        }
+    }
+
     fn elapsed(&self) -> Duration {
         let since = Duration::from_millis(self.since_ms.load(Ordering::Relaxed));
         self.clock.monotonic().saturating_sub(since)
@@ -162,6 +200,16 @@
     }
 }
 
+impl Drop for TrackedStream {
+    fn drop(&mut self) {
+        if self.activity.is_cut_off.load(Ordering::Relaxed)
+            && let Err(e) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            log::warn!(error:% = e; "failed to set SO_LINGER");
+        }
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -184,7 +232,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.update_close();
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.record_write(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -193,7 +243,9 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.update_close();
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.record_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/samphiresill-gateway/src/callers/mod.rs
+++ b/samphiresill-gateway/src/callers/mod.rs
@@ -14,11 +14,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 
 pub use self::activity::ActiveRequest;
 use self::activity::{ConnectionActivity, TrackedStream};
 use crate::gateway::Gateway;
 use crate::listener::{Accepted, Listener};
+use crate::log_budget::Kind;
 use crate::relay;
 
 /// Interval at which the timeouts of a connection are checked.
@@ -27,6 +29,10 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Timeout for a request head while no configuration is known.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Size of the kernel's send buffer of a connection (the kernel doubles it). It bounds what the kernel
+/// holds for a caller that does not read, and a caller's progress shows after a third of it is read;
+/// the default grows to several megabytes. 128 KB are enough for 45 MB/s at a round trip of 2.8 ms.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Lower bound of the buffer of a connection: the smallest one that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Buffer of a connection that is opened while no configuration is known, because it keeps its buffer.
@@ -60,6 +66,10 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(error:% = e; "failed to set TCP_NODELAY");
     }
+    if let Err(e) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!(error:% = e; "failed to set SO_SNDBUF");
+    }
+    let caller = stream.peer_addr().ok();
     let activity = Arc::new(ConnectionActivity::new(Arc::clone(&gateway.clock)));
     let service = {
         let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
@@ -110,10 +120,21 @@
                     log::debug!("request head not received within the timeout");
                     return;
                 }
+                let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout);
+                let blocked_for = activity.blocked_for();
+                if blocked_for > idle_timeout {
+                    if gateway.log_budget.allows(Kind::Failed) {
+                        let blocked_ms = blocked_for.as_millis() as u64;
+                        log::info!(caller:?, blocked_ms; "caller cut off, it reads nothing");
+                    }
+                    gateway.metrics.record_cut_off();
+                    activity.cut_off();
+                    return;
+                }
                 let idle_timeout = if occupancy.exceeds(HIGH_OCCUPANCY) {
                     IDLE_TIMEOUT_AT_HIGH_OCCUPANCY
                 } else {
-                    limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout)
+                    idle_timeout
                 };
                 if activity.idle_for() > idle_timeout {
                     connection.as_mut().graceful_shutdown();
--- a/samphiresill-gateway/src/connection/call.rs
+++ b/samphiresill-gateway/src/connection/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, Response, http};
 
@@ -42,7 +42,7 @@
     timeout: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, Error> {
-    let req = Request::get(path).body(Full::default());
+    let req = Request::get(path).body(Bytes::new());
     call(pool, address, req, timeout, max_bytes).await
 }
 
@@ -59,14 +59,14 @@
 ) -> Result<Response<Bytes>, Error> {
     let req = Request::post(path)
         .header(CONTENT_TYPE, "application/json")
-        .body(Full::from(document));
+        .body(document);
     call(pool, address, req, timeout, MAX_RESPONSE_BYTES).await
 }
 
 async fn call(
     pool: &Pool,
     address: SocketAddr,
-    req: http::Result<Request<Full<Bytes>>>,
+    req: http::Result<Request<Bytes>>,
     timeout: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, Error> {
@@ -79,7 +79,7 @@
 async fn exchange(
     pool: &Pool,
     address: SocketAddr,
-    mut req: Request<Full<Bytes>>,
+    mut req: Request<Bytes>,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, Error> {
     let host = HeaderValue::from_str(&address.to_string());
--- a/samphiresill-gateway/src/connection/pool.rs
+++ b/samphiresill-gateway/src/connection/pool.rs
@@ -75,7 +75,8 @@
     /// Returns a connection to the pool after its response has ended, unless the response headers
     /// forbid reuse.
     pub fn release(&self, address: SocketAddr, connection: Connection, headers: &HeaderMap) {
-        if connection.is_closed() || requests_close(headers) {
+        // The rest of a body that the server does not read would stay in memory.
+        if connection.is_closed() || connection.has_unsent_body() || requests_close(headers) {
             return;
         }
         let idle_timeout = keep_alive_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -81,6 +81,7 @@
     crashes: Counter<u64>,
     quarantined: Gauge<u64>,
     limited_responses: Counter<u64>,
+    callers_cut_off: Counter<u64>,
     limited_targets: Gauge<u64>,
     first_event_time: Histogram<f64>,
     request_time: Histogram<f64>,
@@ -110,6 +111,7 @@
             crashes: meter.u64_counter("gateway_target_crashes").build(),
             quarantined: meter.u64_gauge("gateway_quarantined_parts").build(),
             limited_responses: meter.u64_counter("gateway_limited_responses").build(),
+            callers_cut_off: meter.u64_counter("gateway_callers_cut_off").build(),
             limited_targets: meter.u64_gauge("gateway_limited_targets").build(),
             first_event_time: histogram(&meter, "gateway_first_event_seconds"),
             request_time: histogram(&meter, "gateway_request_seconds"),
@@ -173,6 +175,11 @@
         self.limited_responses.add(1, &[]);
     }
 
+    /// Counts a caller that was cut off because it read nothing.
+    pub fn record_cut_off(&self) {
+        self.callers_cut_off.add(1, &[]);
+    }
+
     /// Records the number of targets that name such a limit.
     pub fn record_limited_targets(&self, targets: usize) {
         self.limited_targets.record(targets as u64, &[]);
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode, http};
@@ -73,6 +72,8 @@
     pub is_broken_connection: bool,
     /// Whether this router broke the attempt off, which tells nothing about the target.
     pub is_cancelled: bool,
+    /// Whether the target has not read the request, or acknowledged nothing, for too long.
+    pub is_stalled: bool,
 }
 
 impl Failure {
@@ -85,6 +86,7 @@
             response: None,
             is_broken_connection: false,
             is_cancelled: false,
+            is_stalled: false,
         }
     }
 
@@ -106,13 +108,14 @@
             | connection::Error::Unsent => FailurePoint::Connect,
             connection::Error::Broken(_) => FailurePoint::Sending,
             connection::Error::Truncated { .. } => FailurePoint::DuringAnswer,
-            connection::Error::Timeout => FailurePoint::Silence,
+            connection::Error::Stalled | connection::Error::Timeout => FailurePoint::Silence,
         };
         Self {
             is_broken_connection: matches!(
                 e,
                 connection::Error::Broken(_) | connection::Error::Truncated { .. }
             ),
+            is_stalled: matches!(e, connection::Error::Stalled),
             ..Self::new(point, e.to_string())
         }
     }
@@ -214,7 +217,7 @@
     ctx: &RequestContext,
     placement: &Placement,
     resume_after: Option<&str>,
-) -> Request<Full<Bytes>> {
+) -> Request<Bytes> {
     let forward = ForwardMetadata {
         target: &placement.target,
         time_left: ctx.time_left(gateway.clock.monotonic()),
@@ -222,7 +225,7 @@
         copy_from: placement.copy_from,
         resume_after,
     };
-    let mut req = Request::new(Full::new(Bytes::clone(&ctx.body)));
+    let mut req = Request::new(ctx.body.clone());
     *req.method_mut() = ctx.method.clone();
     *req.uri_mut() = ctx.uri.clone();
     *req.headers_mut() = gateway.dialect.target_headers(&ctx.headers, &forward);
--- a/samphiresill-gateway/src/relay/body.rs
+++ b/samphiresill-gateway/src/relay/body.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use samphiresill_attempt::failure::FailurePoint;
 
 use super::attempt::Failure;
-use crate::body_budget::BodyBudget;
+use crate::body_budget::{BodyBuffer, Reservation};
 
 /// Maximum size of a response that is read as a whole; streams have no limit.
-const MAX_BODY_BYTES: usize = 8 << 20;
+pub const MAX_BODY_BYTES: usize = 8 << 20;
 /// Maximum number of bytes of a body that are discarded to reuse its connection. Opening a new
 /// connection costs less than reading more.
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
@@ -23,10 +23,9 @@
 ///
 /// # Errors
 /// When the body ends prematurely, or exceeds `MAX_BODY_BYTES` or the budget.
-pub async fn read(mut body: Incoming, budget: &BodyBudget) -> Result<Bytes, Failure> {
+pub async fn read(mut body: Incoming, reservation: Reservation) -> Result<Bytes, Failure> {
     let failed = |cause: String| Failure::new(FailurePoint::DuringAnswer, cause);
-    let mut reservation = budget.new_reservation();
-    let mut buf = BytesMut::new();
+    let mut buf = BodyBuffer::new(reservation);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| Failure::broken_response(e.to_string()))?;
         let Ok(chunk) = frame.into_data() else {
@@ -35,12 +34,19 @@
         if buf.len() + chunk.len() > MAX_BODY_BYTES {
             return Err(failed(format!("the body exceeds {MAX_BODY_BYTES} bytes")));
         }
-        if !reservation.grow(chunk.len()) {
-            return Err(failed("no memory for the body".to_owned()));
+        if !buf.push(&chunk) {
+            return Err(no_memory());
         }
-        buf.extend_from_slice(&chunk);
     }
-    Ok(Bytes::from_owner(reservation.into_body(buf.freeze())))
+    Ok(buf.into_bytes())
+}
+
+/// The failure of an attempt for whose response this router has no memory.
+pub fn no_memory() -> Failure {
+    Failure {
+        is_cancelled: true,
+        ..Failure::new(FailurePoint::DuringAnswer, "no memory for the body")
+    }
 }
 
 /// Discards a body that is not needed. Returns whether it ended, so that its connection can be
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::body::Body;
 use hyper::header::{CONNECTION, HeaderName, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode, http};
 use samphiresill_attempt::failure::{self, FailureContext, FailurePoint, Verdict};
@@ -12,12 +13,15 @@
 use samphiresill_sched::fleet::admission::Refusal;
 use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::request::PlacementRequest;
+use tokio::time::Instant;
 
 use super::attempt::{self, Failure, RunGuard, TargetResponse};
 use super::body;
+use super::delivery::Delivery;
 use super::request_context::RequestContext;
 use super::response::{self, ResponseBody};
 use super::stream;
+use crate::body_budget::Reservation;
 use crate::crash_probe;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::log_budget::Kind;
@@ -140,6 +144,9 @@
         let now = self.gateway.clock.monotonic();
         let target = run.placement.target.clone();
         run.set_result(run_result(&failure));
+        if failure.is_stalled {
+            self.gateway.fleet_load().record_stall(&target, now);
+        }
         if let Some(generation) = self.ctx.generation.as_ref()
             && failure.is_broken_connection
         {
@@ -269,12 +276,12 @@
     }
 }
 
-/// Forwards a request and returns the response to the caller. `stream` counts it towards the stream
-/// limit until it ends.
+/// Forwards a request and returns the response to the caller. `stream` counts a stream towards the
+/// stream limit until it ends, and is its memory.
 pub async fn forward(
     gateway: &Arc<Gateway>,
     ctx: RequestContext,
-    stream: Option<InFlightGuard>,
+    stream: Option<(InFlightGuard, Delivery)>,
 ) -> Response<ResponseBody> {
     gateway.deposit_retries(&ctx.service);
     let ctx = Arc::new(ctx);
@@ -284,8 +291,10 @@
             Ok(next) => next,
             Err(error) => return error_response(gateway, &ctx, error),
         };
-        if ctx.is_stream() && response.head.status.is_success() {
-            return stream::start(attempts, run, response, stream);
+        if response.head.status.is_success()
+            && let Some((in_flight, delivery)) = stream
+        {
+            return stream::start(attempts, run, response, delivery, in_flight);
         }
         match read_full(gateway, &ctx, &mut run, &attempts, response).await {
             Ok(response) => return response,
@@ -313,7 +322,10 @@
         connection,
     } = response;
     let time_left = ctx.time_left(gateway.clock.monotonic());
-    let read = tokio::time::timeout(time_left, body::read(body, &gateway.body_budget)).await;
+    let until = Instant::now() + time_left;
+    let length = body.size_hint().exact().unwrap_or(0);
+    let reservation = reserve(gateway, run, length, until).await?;
+    let read = tokio::time::timeout_at(until, body::read(body, reservation)).await;
     let timed_out = |_| Failure::new(FailurePoint::Silence, "the body did not arrive in time");
     let bytes = read.map_err(timed_out)??;
     let placement = &run.placement;
@@ -348,6 +360,27 @@
     Ok(forward_response(head, ResponseBody::full(bytes)))
 }
 
+/// Reserves memory for a response of a known length. While callers that read slowly hold the memory,
+/// the response is not read, so that its target waits.
+async fn reserve(
+    gateway: &Gateway,
+    run: &RunGuard,
+    length: u64,
+    until: Instant,
+) -> Result<Reservation, Failure> {
+    let mut reservation = gateway.body_budget.new_reservation();
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    // `body::read` fails on a longer body.
+    if length > body::MAX_BODY_BYTES || reservation.grow(length) {
+        return Ok(reservation);
+    }
+    gateway.fleet_load().hold_run(&run.placement);
+    let reserved = tokio::time::timeout_at(until, gateway.body_budget.reserve(length)).await;
+    let now = gateway.clock.monotonic();
+    gateway.fleet_load().resume_run(&run.placement, now);
+    reserved.ok().flatten().ok_or_else(body::no_memory)
+}
+
 /// Result of a failed attempt that is reported to the fleet load.
 fn run_result(failure: &Failure) -> RunResult {
     match failure.point {
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 mod body;
+mod delivery;
 pub mod events;
 pub mod forward;
 pub mod framing;
@@ -12,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
@@ -21,9 +22,10 @@
 use samphiresill_core::routing::{CallerLimits, RequestKind, Route, RoutingTable};
 use samphiresill_sched::fleet::overload::StreamLimiter;
 
+use self::delivery::Delivery;
 use self::request_context::RequestContext;
 use self::response::ResponseBody;
-use crate::body_budget::{Body, Reservation};
+use crate::body_budget::{BodyBuffer, Reservation};
 use crate::dialect::CallerHead;
 use crate::gateway::Gateway;
 use crate::log_budget;
@@ -89,8 +91,13 @@
     if !ctx.is_stream() {
         return forward::forward(gateway, ctx, None).await;
     }
+    let Some(delivery) = Delivery::new(&gateway.body_budget) else {
+        let refusal = memory_exhausted("no memory for another stream");
+        record_rejection(gateway, Some(&ctx.request), &refusal);
+        return refusal.response;
+    };
     if let Some(stream) = gateway.begin_stream() {
-        return forward::forward(gateway, ctx, Some(stream)).await;
+        return forward::forward(gateway, ctx, Some((stream, delivery))).await;
     }
     if gateway.log_budget.allows(log_budget::Kind::Refused) {
         log::info!(request:% = ctx.request; "refused, processor overloaded");
@@ -135,10 +142,15 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let service = route.service(rand::random()).clone();
     let is_generation = matches!(route.request_kind, RequestKind::Generation { .. });
-    let is_engine = table
-        .services
-        .get(&service)
-        .is_some_and(|s| s.engine.is_some());
+    let engine = table.services.get(&service).and_then(|s| s.engine.as_ref());
+    let is_engine = engine.is_some();
+    if let (Some(engine), Some(generation)) = (engine, &head.generation)
+        && !generation.fits(engine)
+    {
+        // No engine of the service will ever hold it, so that there is no time to retry at.
+        let reason = "the prompt and the output exceed the memory of an engine";
+        return Err(reject(StatusCode::PAYLOAD_TOO_LARGE, reason));
+    }
     Ok(RequestContext {
         request,
         service,
@@ -194,7 +206,7 @@
     limits: CallerLimits,
     headers: &hyper::HeaderMap,
     body: Incoming,
-) -> Result<Body, BoxedRejection> {
+) -> Result<Bytes, BoxedRejection> {
     let length = headers
         .get(CONTENT_LENGTH)
         .and_then(|l| l.to_str().ok()?.parse::<usize>().ok());
@@ -206,7 +218,7 @@
     if !reservation.grow(expected) {
         return Err(body_memory_exhausted());
     }
-    let reading = read_chunks(body, limits.body_bytes, expected, reservation);
+    let reading = read_chunks(body, limits.body_bytes, reservation);
     tokio::time::timeout(limits.idle_timeout, reading)
         .await
         .unwrap_or_else(|_| {
@@ -218,10 +230,9 @@
 async fn read_chunks(
     mut body: Incoming,
     limit: usize,
-    reserved: usize,
-    mut reservation: Reservation,
-) -> Result<Body, BoxedRejection> {
-    let mut buf = BytesMut::with_capacity(reserved);
+    reservation: Reservation,
+) -> Result<Bytes, BoxedRejection> {
+    let mut buf = BodyBuffer::new(reservation);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
             log::debug!(error:% = e; "request body ended prematurely");
@@ -230,27 +241,29 @@
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
-        let length = buf.len() + chunk.len();
-        if length > limit {
+        if buf.len() + chunk.len() > limit {
             return Err(body_too_large());
         }
-        if length > reserved && !reservation.grow(length - buf.len().max(reserved)) {
+        if !buf.push(&chunk) {
             return Err(body_memory_exhausted());
         }
-        buf.extend_from_slice(&chunk);
     }
-    Ok(reservation.into_body(buf.freeze()))
+    Ok(buf.into_bytes())
 }
 
 fn body_too_large() -> BoxedRejection {
     reject(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
 }
 
-/// Refuses a request whose body does not fit into the memory budget. The connection is closed,
-/// because the rest of the body is not read.
+/// Refuses a request whose body does not fit into the memory budget.
 fn body_memory_exhausted() -> BoxedRejection {
-    let mut rejection =
-        reject_with_retry_after("no memory for another body", NO_MEMORY_RETRY_AFTER);
+    memory_exhausted("no memory for another body")
+}
+
+/// Refuses a request for which the budget has no memory. The connection is closed, because the rest of
+/// a body may be unread, and another gateway may have memory.
+fn memory_exhausted(reason: &'static str) -> BoxedRejection {
+    let mut rejection = reject_with_retry_after(reason, NO_MEMORY_RETRY_AFTER);
     let close = HeaderValue::from_static("close");
     rejection.response.headers_mut().insert(CONNECTION, close);
     rejection
--- a/samphiresill-gateway/src/relay/request_context.rs
+++ b/samphiresill-gateway/src/relay/request_context.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use samphiresill_attempt::failure::RetryClass;
 use samphiresill_core::name::{CustomerName, RequestId, ServiceName};
 use samphiresill_core::routing::{RequestKind, Route};
 use samphiresill_sched::fleet::request::Generation;
 
-use crate::body_budget::Body;
-
 /// `RequestContext` is a request of a caller and what is needed to forward it.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -32,8 +31,8 @@
     pub uri: Uri,
     /// Headers as received.
     pub headers: HeaderMap,
-    /// Body as received.
-    pub body: Body,
+    /// Body as received; it counts against the memory budget.
+    pub body: Bytes,
     /// Monotonic time at which the request head arrived.
     pub started: Duration,
     /// Monotonic deadline of the final response.
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -25,6 +25,7 @@
 use tokio::time::Sleep;
 
 use super::attempt::{Failure, RunGuard, TargetResponse};
+use super::delivery::Delivery;
 use super::events::{EventBoundary, EventSplitter};
 use super::forward::{self, Attempts};
 use super::framing::Framing;
@@ -127,6 +128,10 @@
     placement: Placement,
     /// Counts the stream towards the stream limit.
     in_flight: Option<InFlightGuard>,
+    /// Memory of what is delivered.
+    delivery: Delivery,
+    /// Whether the run is held because its caller does not take what it has written.
+    is_held: bool,
 }
 
 /// Starts to relay a stream. The response has the head of the first run.
@@ -135,7 +140,8 @@
     attempts: Attempts,
     run: RunGuard,
     response: TargetResponse,
-    in_flight: Option<InFlightGuard>,
+    delivery: Delivery,
+    in_flight: InFlightGuard,
 ) -> Response<ResponseBody> {
     let (gateway, ctx) = attempts.parts();
     let mut response_head = response.head.clone();
@@ -163,7 +169,9 @@
         pace: Pace::default(),
         progress_at: now,
         reported_at: None,
-        in_flight,
+        in_flight: Some(in_flight),
+        delivery,
+        is_held: false,
     };
     if stream.is_resumable {
         // Another run may end with a body of another length.
@@ -193,6 +201,9 @@
     /// Polls the next bytes for the caller; `None` after the end.
     pub fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         loop {
+            if let Some(chunk) = ready!(self.delivery.poll(cx)) {
+                return Poll::Ready(Some(chunk.map_err(|cause| self.abort(cause))));
+            }
             let step = match &mut self.state {
                 State::Ended => Step::End,
                 State::Resuming(pending) => {
@@ -205,23 +216,57 @@
                 State::Relaying { response, .. } => {
                     let polled = match poll_body(Pin::new(&mut response.body), cx) {
                         Poll::Ready(polled) => polled,
-                        Poll::Pending => ready!(self.poll_timer(cx)),
+                        Poll::Pending => {
+                            self.resume_run();
+                            ready!(self.poll_timer(cx))
+                        }
                     };
                     self.handle_poll(polled)
                 }
             };
             return Poll::Ready(match step {
                 Step::Continue => continue,
-                Step::Deliver(bytes) => Some(Ok(bytes)),
+                Step::Deliver(bytes) => {
+                    self.hold_run();
+                    let now = self.gateway.clock.monotonic();
+                    self.delivery.push(bytes, self.ctx.time_left(now));
+                    continue;
+                }
                 Step::End => None,
                 Step::Abort(error) => Some(Err(error)),
             });
         }
     }
 
+    /// Records that the target is not read until the caller has taken what is delivered.
+    fn hold_run(&mut self) {
+        if let State::Relaying { run, .. } = &self.state
+            && !std::mem::replace(&mut self.is_held, true)
+        {
+            self.gateway.fleet_load().hold_run(&run.placement);
+        }
+    }
+
+    /// Records that the stream waits for its target.
+    fn resume_run(&mut self) {
+        if let State::Relaying { run, .. } = &self.state
+            && std::mem::replace(&mut self.is_held, false)
+        {
+            let now = self.gateway.clock.monotonic();
+            // The target could not write meanwhile, so that its silence begins now.
+            self.progress_at = now;
+            self.gateway.fleet_load().resume_run(&run.placement, now);
+        }
+    }
+
     fn handle_poll(&mut self, polled: BodyPoll) -> Step {
         let during_response = |cause| Failure::new(FailurePoint::DuringAnswer, cause);
+        let now = self.gateway.clock.monotonic();
         match polled {
+            // A caller that reads slowly keeps bytes waiting, so that the timer is not polled.
+            BodyPoll::Bytes(_) if self.ctx.time_left(now).is_zero() => {
+                Step::Abort(self.abort("time is up"))
+            }
             BodyPoll::Bytes(bytes) => match self.take_complete_events(&bytes) {
                 Ok(bytes) if bytes.is_empty() => self.handle_lack_of_events(),
                 Ok(bytes) => {
@@ -386,6 +431,7 @@
         self.boundary = EventBoundary::default();
         self.splitter = EventSplitter::default();
         self.pace = Pace::default();
+        self.is_held = false;
         self.placement = run.placement.clone();
         self.progress_at = self.gateway.clock.monotonic();
         self.state = State::Relaying {
