Bound the full share of a cut-off scheduler, with tests of marks and shares

A scheduler that was cut off counted each newly chosen scheduler as heard for a second, so it could keep its full share while its own view chose one unreachable scheduler after the other. Only a received frame counts now. The members were counted with each tick of 25 ms; they are counted once a second and on a change. A request is counted as diverted by the cold targets only, not by a scan of all candidates.

New tests: decoding of odd cold times and of the configuration, cold times behind a frame as a gateway of the version before reads it, the share by the view of the fleet, and when marks make a target cold.

The integration tests of the adapter have not been run.

--- a/samphiresill-gateway/src/peers/cold_share.rs
+++ b/samphiresill-gateway/src/peers/cold_share.rs
@@ -24,26 +24,32 @@
 /// Time for which gateways that are no longer known count as part of the fleet, so that a part of it that
 /// is partitioned for long does not take itself for the whole.
 const MEMBER_RETENTION: Duration = Duration::from_mins(10);
+/// Interval between counts of the gateways while the membership does not change.
+const COUNT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of gateways that are counted.
 const MAX_MEMBERS: usize = 4_096;
 
 /// `View` is what a gateway knows of the fleet.
-pub(super) struct View<'a> {
+pub(crate) struct View<'a> {
     /// This gateway.
-    pub(super) own: &'a Member,
+    pub(crate) own: &'a Member,
     /// The other gateways, including dead ones.
-    pub(super) members: &'a BTreeMap<VmName, Member>,
+    pub(crate) members: &'a BTreeMap<VmName, Member>,
     /// The schedulers.
-    pub(super) schedulers: &'a [Member],
+    pub(crate) schedulers: &'a [Member],
 }
 
 /// `ColdShares` derives the share of a gateway from its view of the fleet.
 #[derive(Debug)]
-pub(super) struct ColdShares {
+pub(crate) struct ColdShares {
     /// When a frame of each scheduler was last received.
     heard: BTreeMap<SocketAddr, Duration>,
     /// When each gateway was last known.
     known: BTreeMap<VmName, Duration>,
+    /// Number of gateways of the fleet, and of those that are usable.
+    counts: (usize, usize),
+    /// When they were counted; `None` after a change of the membership.
+    counted_at: Option<Duration>,
     updated_at: Duration,
     /// End of the period after a start or a suspension.
     alone_until: Duration,
@@ -51,51 +57,63 @@
     scheduler_since: Option<Duration>,
     /// The numbers of schedulers within the last [`ROLE_CHANGE_TIME`], with the time until which each
     /// counts. At most one entry for each number.
-    counts: BTreeMap<usize, Duration>,
+    scheduler_counts: BTreeMap<usize, Duration>,
 }
 
 impl ColdShares {
     /// Creates the state of a gateway that starts at `now`.
-    pub(super) fn new(now: Duration) -> Self {
+    pub(crate) fn new(now: Duration) -> Self {
         Self {
             heard: BTreeMap::new(),
             known: BTreeMap::new(),
+            counts: (1, 1),
+            counted_at: None,
             updated_at: now,
             alone_until: now + START_TIME,
             scheduler_since: None,
-            counts: BTreeMap::new(),
+            scheduler_counts: BTreeMap::new(),
         }
     }
 
     /// Records a frame of another scheduler.
-    pub(super) fn record_heard(&mut self, from: SocketAddr, now: Duration) {
+    pub(crate) fn record_heard(&mut self, from: SocketAddr, now: Duration) {
         if let Some(heard_at) = self.heard.get_mut(&from) {
             *heard_at = now;
         }
     }
 
+    /// Notes that members have changed, so that they are counted again.
+    pub(crate) fn record_membership_change(&mut self) {
+        self.counted_at = None;
+    }
+
     /// Returns the share of this gateway; called with each tick of the driver.
-    pub(super) fn update(&mut self, view: &View<'_>, now: Duration) -> ColdShare {
+    pub(crate) fn update(&mut self, view: &View<'_>, now: Duration) -> ColdShare {
         if now.saturating_sub(self.updated_at) > MAX_UPDATE_GAP {
             self.alone_until = now + START_TIME;
         }
         self.updated_at = now;
-        let routers = self.count_routers(view, now);
-        let usable = view.members.values().filter(|m| m.is_usable()).count() + 1;
+        let is_due = |at: Duration| now.saturating_sub(at) >= COUNT_INTERVAL;
+        if self.counted_at.is_none_or(is_due) {
+            let usable = view.members.values().filter(|m| m.is_usable()).count() + 1;
+            self.counts = (self.count_routers(view, now), usable);
+            self.counted_at = Some(now);
+        }
+        let (routers, usable) = self.counts;
         let others = view.schedulers.iter().filter(|m| m.vm != view.own.vm);
         let others: Vec<&Member> = others.collect();
         let is_scheduler = others.len() < view.schedulers.len();
         let since = self.scheduler_since.unwrap_or(now);
         self.scheduler_since = is_scheduler.then_some(since);
         let hears_majority = self.hears_majority(&others, now);
-        self.counts.retain(|_, until| now < *until);
-        self.counts
+        self.scheduler_counts.retain(|_, until| now < *until);
+        self.scheduler_counts
             .insert(view.schedulers.len(), now + ROLE_CHANGE_TIME);
         let is_settled = now >= self.alone_until && now.saturating_sub(since) >= ROLE_CHANGE_TIME;
         if !is_scheduler || !is_settled || !hears_majority || usable * 2 <= routers {
             return ColdShare::Alone { routers };
         }
-        let max_schedulers = self.counts.keys().max().copied().unwrap_or(1);
+        let max_schedulers = self.scheduler_counts.keys().max().copied().unwrap_or(1);
         ColdShare::Scheduler {
             own: view.own.vm.clone(),
             others: others.iter().map(|m| m.vm.clone()).collect(),
@@ -123,7 +141,8 @@
         let addresses: BTreeSet<SocketAddr> = others.iter().map(|m| m.address).collect();
         self.heard.retain(|a, _| addresses.contains(a));
         for address in addresses {
-            self.heard.entry(address).or_insert(now);
+            // A scheduler that has just been chosen may be as unreachable as the one before.
+            self.heard.entry(address).or_default();
         }
         let recent = self.heard.values();
         let recent = recent.filter(|at| now.saturating_sub(**at) < HEARING_TIME);
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -253,6 +253,7 @@
         } else {
             LimitShare::OneOf(routers)
         });
+        self.cold_shares.record_membership_change();
         self.update_cold_share(now);
         if is_new {
             log::info!(
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -8,7 +8,7 @@
 //! peer, also when the store does not respond to it.
 
 mod cold_log;
-mod cold_share;
+pub(crate) mod cold_share;
 pub mod driver;
 pub mod frame;
 mod limit_log;
--- a/samphiresill-gateway/src/tests/frames.rs
+++ b/samphiresill-gateway/src/tests/frames.rs
@@ -7,6 +7,7 @@
 use samphiresill_sched::fleet::quarantine::{MAX_ENTRIES, Notice};
 use samphiresill_sched::fleet::request::{PlacementRequest, RunId};
 
+use crate::knowledge::directory::EntryColdTime;
 use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES, PlacementRequestFrame};
 
 fn frame() -> Frame {
@@ -47,6 +48,27 @@
     assert_eq!(format!("{read:?}"), format!("{:?}", frame()));
 }
 
+/// Guards against cold times that are lost, or that a gateway of the version before, which reads only the
+/// frame, cannot skip.
+#[test]
+fn cold_times_follow_the_frame() {
+    let Frame::Load(load) = frame() else {
+        panic!("a load frame");
+    };
+    let cold = vec![EntryColdTime {
+        index: 3,
+        remaining_ms: 2_900,
+    }];
+    let cold = LoadFrame { cold, ..load };
+    let bytes = Frame::Load(cold.clone()).encode().expect("a frame");
+    let Ok(Frame::Load(read)) = Frame::decode(&bytes) else {
+        panic!("a load frame");
+    };
+    assert_eq!(read.cold, cold.cold);
+    let (before, _) = postcard::take_from_bytes::<Frame>(&bytes).expect("a frame");
+    assert_eq!(format!("{before:?}"), format!("{:?}", frame()));
+}
+
 /// Truncated frames must be rejected, and decoding a frame with a changed byte must not panic.
 #[test]
 fn truncated_frames_are_rejected_and_corrupted_ones_do_not_panic() {
--- a/samphiresill-gateway/src/tests/mod.rs
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the gateway.
 
 mod body_budget;
+mod cold_share;
 mod directory;
 mod events;
 mod frames;
--- a/samphiresill-sched/src/fleet/cold_start/mod.rs
+++ b/samphiresill-sched/src/fleet/cold_start/mod.rs
@@ -259,6 +259,17 @@
         next_at.saturating_sub(now).min(remaining)
     }
 
+    /// Whether the limit of any of the cold targets that `is_candidate` selects delays a request.
+    #[must_use]
+    pub fn is_any_limited(
+        &self,
+        is_candidate: impl Fn(&TargetName) -> bool,
+        now: Duration,
+    ) -> bool {
+        let mut candidates = self.marked.iter().filter(|name| is_candidate(name));
+        candidates.any(|name| !self.wait(name, now).is_zero())
+    }
+
     fn interval(&self, name: &TargetName, rate: RequestRate, now: Duration) -> Option<Duration> {
         if now < self.share_until {
             self.share.interval(name, rate)
--- a/samphiresill-sched/src/fleet/load/cold_start.rs
+++ b/samphiresill-sched/src/fleet/load/cold_start.rs
@@ -99,9 +99,11 @@
         if !self.cold_starts.has_marks() || !req.is_first_attempt {
             return;
         }
-        let is_limited = self
-            .candidates(req, now)
-            .any(|t| !self.cold_starts.wait(&t.entry.name, now).is_zero());
+        let is_candidate = |name: &TargetName| {
+            let target = self.targets.get(name);
+            target.is_some_and(|t| t.entry.service == *req.service && t.health.is_usable(now))
+        };
+        let is_limited = self.cold_starts.is_any_limited(is_candidate, now);
         self.cold_diversions += u64::from(is_limited);
     }
 
