--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -62,6 +62,23 @@
     }
 }
 
+/// `Symptom` is what a failed attempt shows about its target, beside the stage.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Symptom {
+    /// Nothing more.
+    #[default]
+    None,
+    /// The connection broke after the request was sent, as it does in a crash.
+    BrokenConnection,
+    /// This router broke the attempt off, which tells nothing about the target.
+    Cancelled,
+    /// The target was full: it turned the request away with status 503, and neither leaves nor names a
+    /// limit that explains it.
+    Rejected,
+    /// The target has not read the request, or acknowledged nothing, for too long.
+    Stalled,
+}
+
 /// `Failure` is the reason why an attempt produced no response that may be delivered.
 #[derive(Debug)]
 pub struct Failure {
@@ -71,15 +88,8 @@
     pub cause: String,
     /// The error response of the target, when it may be passed on.
     pub response: Option<(http::response::Parts, Bytes)>,
-    /// Whether the connection broke after the request was sent, as it does in a crash.
-    pub is_broken_connection: bool,
-    /// Whether this router broke the attempt off, which tells nothing about the target.
-    pub is_cancelled: bool,
-    /// Whether the target was full: it turned the request away with status 503, and neither leaves nor
-    /// names a limit that explains it.
-    pub is_rejected: bool,
-    /// Whether the target has not read the request, or acknowledged nothing, for too long.
-    pub is_stalled: bool,
+    /// What it shows beside the stage.
+    pub symptom: Symptom,
 }
 
 impl Failure {
@@ -90,10 +100,7 @@
             point,
             cause: cause.into(),
             response: None,
-            is_broken_connection: false,
-            is_cancelled: false,
-            is_rejected: false,
-            is_stalled: false,
+            symptom: Symptom::None,
         }
     }
 
@@ -101,7 +108,7 @@
     #[must_use]
     pub fn broken_response(cause: impl Into<String>) -> Self {
         Self {
-            is_broken_connection: true,
+            symptom: Symptom::BrokenConnection,
             ..Self::new(FailurePoint::DuringAnswer, cause)
         }
     }
@@ -117,12 +124,15 @@
             connection::Error::Truncated { .. } => FailurePoint::DuringAnswer,
             connection::Error::Stalled | connection::Error::Timeout => FailurePoint::Silence,
         };
+        let symptom = match &e {
+            connection::Error::Broken(_) | connection::Error::Truncated { .. } => {
+                Symptom::BrokenConnection
+            }
+            connection::Error::Stalled => Symptom::Stalled,
+            _ => Symptom::None,
+        };
         Self {
-            is_broken_connection: matches!(
-                e,
-                connection::Error::Broken(_) | connection::Error::Truncated { .. }
-            ),
-            is_stalled: matches!(e, connection::Error::Stalled),
+            symptom,
             ..Self::new(point, e.to_string())
         }
     }
@@ -158,7 +168,7 @@
             Err(_) => Err(Failure::new(FailurePoint::Silence, "no answer in time")),
         },
         () = quarantined(gateway, ctx) => Err(Failure {
-            is_cancelled: true,
+            symptom: Symptom::Cancelled,
             ..Failure::new(FailurePoint::Sending, "cancelled, a prompt part is quarantined")
         }),
     }
@@ -204,7 +214,7 @@
         // that did not know it yet, or for the connection.
         if gateway.fleet_load().is_evacuated(&placement.target) {
             return Err(Failure {
-                is_cancelled: true,
+                symptom: Symptom::Cancelled,
                 ..Failure::new(FailurePoint::Connect, "the failure domain is evacuated")
             });
         }
@@ -325,10 +335,15 @@
         };
         let cause = format!("the target did not run it, status {}", head.status);
         let told = info.directives;
+        let is_full = head.status == StatusCode::SERVICE_UNAVAILABLE
+            && !told.is_leaving
+            && told.rate_limit.is_none();
         return Err(Failure {
-            is_rejected: head.status == StatusCode::SERVICE_UNAVAILABLE
-                && !told.is_leaving
-                && told.rate_limit.is_none(),
+            symptom: if is_full {
+                Symptom::Rejected
+            } else {
+                Symptom::None
+            },
             ..Failure::new(point, cause)
         });
     }
--- a/samphiresill-gateway/src/relay/body.rs
+++ b/samphiresill-gateway/src/relay/body.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use samphiresill_attempt::failure::FailurePoint;
 
-use super::attempt::Failure;
+use super::attempt::{Failure, Symptom};
 use crate::body_budget::{BodyBuffer, Reservation};
 
 /// Maximum size of a response that is read as a whole; streams have no limit.
@@ -44,7 +44,7 @@
 /// The failure of an attempt for whose response this router has no memory.
 pub fn no_memory() -> Failure {
     Failure {
-        is_cancelled: true,
+        symptom: Symptom::Cancelled,
         ..Failure::new(FailurePoint::DuringAnswer, "no memory for the body")
     }
 }
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -15,7 +15,7 @@
 use samphiresill_sched::fleet::request::PlacementRequest;
 use tokio::time::Instant;
 
-use super::attempt::{self, Failure, RunGuard, TargetResponse};
+use super::attempt::{self, Failure, RunGuard, Symptom, TargetResponse};
 use super::body;
 use super::delivery::Delivery;
 use super::request_context::RequestContext;
@@ -144,15 +144,15 @@
         let now = self.gateway.clock.monotonic();
         let target = run.placement.target.clone();
         run.set_result(run_result(&failure));
-        if failure.is_broken_connection {
+        if failure.symptom == Symptom::BrokenConnection {
             let mut fleet_load = self.gateway.fleet_load();
             fleet_load.record_broken_connection(&run.placement, now);
         }
-        if failure.is_stalled {
+        if failure.symptom == Symptom::Stalled {
             self.gateway.fleet_load().record_stall(&target, now);
         }
         if let Some(generation) = self.ctx.generation.as_ref()
-            && failure.is_broken_connection
+            && failure.symptom == Symptom::BrokenConnection
         {
             crash_probe::record_broken_run(&self.gateway, &run.placement, generation);
         }
@@ -389,8 +389,8 @@
 /// Result of a failed attempt that is reported to the fleet load.
 fn run_result(failure: &Failure) -> RunResult {
     match failure.point {
-        _ if failure.is_cancelled => RunResult::Unknown,
-        FailurePoint::NotExecuted if failure.is_rejected => RunResult::Rejected,
+        _ if failure.symptom == Symptom::Cancelled => RunResult::Unknown,
+        FailurePoint::NotExecuted if failure.symptom == Symptom::Rejected => RunResult::Rejected,
         // `Misdirected`: another target has taken over the address.
         FailurePoint::Connect | FailurePoint::Misdirected => RunResult::Unreachable,
         _ => RunResult::Failed,
