Even out the load of engines where many deciders have old views

Each scheduler sent its next requests to the engine of the lowest cost in its own replica. Replicas are 25 to 50 ms old, so six schedulers chose the same engines at once.

For services of routes with gap_target_ms that have at least four engines for each scheduler, each engine now has one scheduler that prefers it. When its engines cost more than another one by a margin, the scheduler fills the engines up to an even level with the requests that it expects the others to have placed since its views, and draws an engine by what it gets of that. The selected engine never has over 1.05 times as much to prefill as the cheapest one.

The gateway was compiled and linted, its tests were not run.

--- a/samphiresill-core/src/routing.rs
+++ b/samphiresill-core/src/routing.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten().map(|route| &**route)
+    }
+
     /// Returns the route with the longest prefix that matches `path`. A port in `host` is ignored.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -236,6 +236,7 @@
         self.peers
             .set_schedulers(is_scheduler, &self.roles.order_for(&own));
         self.drop_dead_peers();
+        self.drop_old_views();
         let usable = self.membership.usable().len();
         // Dead members are included: one that is only partitioned from this gateway may still send
         // requests.
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -43,6 +43,9 @@
         if let Some(before) = before.filter(|b| *b != frame.origin) {
             fleet_load.retain_runs(before, None, is_relayed, now);
         }
+        if self.is_exchanging_with(from) {
+            fleet_load.balance_mut().record_view(frame.origin, now);
+        }
         fleet_load.apply(frame.events, is_relayed, now);
         if let Some(runs) = &frame.runs {
             let active: BTreeSet<u32> = runs.iter().copied().collect();
@@ -62,6 +65,23 @@
         }
     }
 
+    /// Returns whether this gateway and the one at `address` are schedulers and exchange events.
+    fn is_exchanging_with(&self, address: SocketAddr) -> bool {
+        let mut others = self.roles.other_schedulers(&self.vm).into_iter();
+        self.scheduler_since.is_some() && others.any(|other| other == address)
+    }
+
+    /// Drops the views of gateways that exchange no events with this one any more.
+    pub(super) fn drop_old_views(&self) {
+        let origins = self.origins.iter();
+        let exchanging = origins.filter(|(address, _)| self.is_exchanging_with(**address));
+        let origins: BTreeSet<u64> = exchanging.map(|(_, origin)| *origin).collect();
+        self.gateway
+            .fleet_load()
+            .balance_mut()
+            .retain_views(&origins);
+    }
+
     /// Fetches newer routing state from a peer, unless a fetch is running. A watcher first gives
     /// the store time to notify it.
     pub(super) fn fetch_newer_state(
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! Invariant: a run is counted on at most one target, and only until its end is known.
 
+mod balanced;
 mod cold_start;
 mod crashes;
 mod directives;
@@ -25,6 +26,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::target::{Target, TargetLoad};
+use super::balance::Balance;
 use super::directive::Directives;
 use super::engine::Estimate;
 use super::event::{Event, RunResult};
@@ -86,6 +88,7 @@
     crash_evidence: CrashEvidence,
     quarantine: Quarantine,
     directives: Directives,
+    balance: Balance,
     /// Failure domains whose targets get no requests.
     evacuated: BTreeSet<DomainName>,
     /// Events to send to the other routers.
@@ -111,6 +114,7 @@
             crash_evidence: CrashEvidence::default(),
             quarantine: Quarantine::default(),
             directives: Directives::default(),
+            balance: Balance::new(origin),
             evacuated: BTreeSet::new(),
             outbox: Vec::new(),
         }
@@ -136,6 +140,7 @@
             target.update(entry.clone(), engine);
             self.targets.insert(entry.name.clone(), target);
         }
+        self.set_balanced_services(table);
     }
 
     /// Returns the ID of a new run of this router.
@@ -150,6 +155,7 @@
     /// Counts a run of this router that another router has placed.
     pub fn adopt(&mut self, placement: &Placement, req: &PlacementRequest<'_>, now: Duration) {
         let event = started_event(placement, req);
+        self.record_start(&event, true, now);
         self.apply_event(&event, now);
         self.track_own_run(placement, now);
     }
@@ -209,6 +215,7 @@
     pub fn apply(&mut self, events: Vec<Event>, is_relayed: bool, now: Duration) {
         for event in events {
             self.count_remote_demand(&event, now);
+            self.record_start(&event, false, now);
             self.apply_event(&event, now);
             if is_relayed {
                 self.outbox.push(event);
@@ -312,6 +319,9 @@
             })
         };
         let mut ended = Vec::new();
+        if active.is_none() {
+            self.balance.remove_view(origin);
+        }
         for (name, target) in &self.targets {
             let runs = target.load.runs_of(origin).into_iter();
             ended.extend(
@@ -376,6 +386,7 @@
 
     /// Applies an event of this router and queues it for the other routers.
     fn publish(&mut self, event: Event, now: Duration) {
+        self.record_start(&event, true, now);
         self.apply_event(&event, now);
         self.outbox.push(event);
     }
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -90,7 +90,7 @@
         let share_ratio = req.customer.map_or(0.0, |c| self.shares.ratio(c, now));
         let claim = Claim::new(share_ratio > 1.0, jitter);
         let chosen = self
-            .best_engine(req, generation, claim, now)
+            .best_engine(req, generation, claim, jitter, now)
             .map_err(|unavailable| Refusal {
                 recheck_in: self.recheck_limit(req, &unavailable, jitter),
                 ..unavailable.refusal(req, jitter)
--- a/samphiresill-sched/src/fleet/load/place_engine.rs
+++ b/samphiresill-sched/src/fleet/load/place_engine.rs
@@ -8,6 +8,7 @@
 use super::target::{Target, TargetLoad};
 use super::unavailable::Unavailable;
 use crate::fleet::admission::Reason;
+use crate::fleet::balance::Offer;
 use crate::fleet::directive::rate_limit::Claim;
 use crate::fleet::engine::Estimate;
 use crate::fleet::request::{Generation, PlacementRequest};
@@ -22,16 +23,19 @@
 const TOKEN_INTERVAL_COST_MS: f64 = 100.0;
 
 impl FleetLoad {
-    /// Returns the engine with the lowest cost of a request.
+    /// Returns the engine for a request: the one with the lowest cost, or one of similar cost where
+    /// the load of the service is balanced. `jitter` is uniform over 0 to 1.
     pub(super) fn best_engine(
         &self,
         req: &PlacementRequest<'_>,
         generation: &Generation,
         claim: Claim,
+        jitter: f64,
         now: Duration,
     ) -> Result<Choice, Unavailable> {
         let mut unavailable = Unavailable::from(Reason::NoTarget);
-        let mut best: Option<(f64, &Target, Estimate)> = None;
+        let (mut offers, mut offered): (Vec<Offer<'_>>, Vec<(&Target, Estimate)>) =
+            Default::default();
         let mut total_prefill_rate = 0.0;
         let copy_source = self.copy_source(req, generation, now);
         let cached_elsewhere = copy_source.map_or(0, |(_, tokens)| tokens);
@@ -52,11 +56,16 @@
             let estimate = load.estimate(generation, cached_elsewhere, now);
             let cost = engine_cost(&estimate, self.token_interval.ms())
                 + place::domain_cost_ms(req.domain, &target.entry);
-            if best.as_ref().is_none_or(|(lowest, _, _)| cost < *lowest) {
-                best = Some((cost, target, estimate));
-            }
+            offers.push(Offer {
+                target: &target.entry.name,
+                cost_ms: cost,
+                prefill_tokens: estimate.prefill_tokens,
+                rate: estimate.rate,
+            });
+            offered.push((target, estimate));
         }
-        let (_, target, estimate) = best.ok_or(unavailable)?;
+        let chosen = self.balance.choose(req.service, &offers, jitter, now);
+        let (target, estimate) = chosen.map(|index| offered[index]).ok_or(unavailable)?;
         let source = copy_source.filter(|_| estimate.copied_tokens > 0);
         Ok(Choice {
             name: target.entry.name.clone(),
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -15,15 +15,19 @@
 //! - one router receives more callers than its processor can serve: [`overload`];
 //! - a target fails, stalls or slows down under load: [`health`];
 //! - requests with one part of a prompt crash each engine that answers them: [`quarantine`];
-//! - a target tells that it accepts less load than usual: [`directive`].
+//! - a target tells that it accepts less load than usual: [`directive`];
+//! - many gateways decide at once, based on old views: [`balance`].
 
 pub mod admission;
+pub mod balance;
 pub mod directive;
 pub mod engine;
 pub mod event;
 pub mod health;
 pub mod interval_correction;
 pub mod load;
+#[cfg(any(test, feature = "model"))]
+pub mod model;
 pub mod overload;
 pub mod plain;
 pub mod prefill;
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -2,6 +2,7 @@
 //! single decisions.
 
 mod decisions;
+mod even_load;
 mod fleet_load;
 mod learning;
 mod patterns;
