Measure how evenly targets are loaded, and test failures of the exchange

Nothing showed that targets are overrun in turns: means over seconds hide it. Schedulers now sample the load of all targets each 50 ms, over spans of 250 ms, export the imbalances, the fraction of the time with an overrun target and the age of views as gauges, and log them for each service every 10 s; samphiresillctl evenness prints these lines as a table. samphiresill-experiment balance prints the figures of the model for any size.

New tests: a view that stops, frames twice and out of order, a decider suspended for 5 s, half of the deciders dead, lost frames, a target with false load, single choices, the measure itself.

--- a/samphiresill-ctl/src/logs.rs
+++ b/samphiresill-ctl/src/logs.rs
@@ -6,7 +6,7 @@
 use getopts::Matches;
 use samphiresill_timeline::filter::Filter;
 use samphiresill_timeline::record::{LogFile, Record};
-use samphiresill_timeline::{clocks, explain, html, text};
+use samphiresill_timeline::{clocks, evenness, explain, html, text};
 
 use crate::client::CommandError;
 
@@ -38,6 +38,15 @@
     Ok(())
 }
 
+/// Prints how evenly the targets were loaded.
+///
+/// # Errors
+/// When a file cannot be read.
+pub fn evenness(files: &[&str]) -> Result<(), CommandError> {
+    print!("{}", evenness::render(&read_logs(files)?));
+    Ok(())
+}
+
 fn parse_filter(matches: &Matches) -> Result<(Filter, String), CommandError> {
     if let Some(request) = matches.opt_str("request") {
         let title = format!("Request {request}");
--- a/samphiresill-ctl/src/main.rs
+++ b/samphiresill-ctl/src/main.rs
@@ -30,6 +30,7 @@
                              --request ID, --target NAME, or --from S --to S; --page HTML-FILE
                              writes an HTML page
   explain ID FILE...         explain the outcome of a request from log files
+  evenness FILE...           how evenly targets were loaded, from log files of schedulers
   hash-key                   read a key from standard input and print its hash
 
 KIND is customer, model, service or target.
@@ -137,6 +138,7 @@
     match args[..] {
         ["timeline", ref files @ ..] => logs::timeline(matches, files),
         ["explain", request, ref files @ ..] => logs::explain(request, files),
+        ["evenness", ref files @ ..] => logs::evenness(files),
         ["hash-key"] => hash_key().map_err(CommandError::from),
         ["status"] => {
             output::print_status(&connect(matches)?.status()?, is_json);
--- a/samphiresill-experiment/src/main.rs
+++ b/samphiresill-experiment/src/main.rs
@@ -1,5 +1,6 @@
 //! Command-line experiments that measure fairness, capacity, latency and correctness under load.
 
+mod balance;
 mod capacity;
 mod client;
 mod fairness;
@@ -17,6 +18,7 @@
 Usage: samphiresill-experiment COMMAND [OPTIONS]
 
 Commands:
+  balance    compare ways to select engines with old views, in the model of many deciders
   fairness   compare capacity-sharing policies in simulated time, using the production scheduler
   capacity   measure the unit costs that docs/CAPACITY.md is calculated from
   latency    measure the latency that routers add to the first token and between tokens
@@ -33,6 +35,7 @@
     };
     let clock = SystemClock::new();
     let result = match command {
+        "balance" => balance::command(command_args),
         "fairness" => fairness::command(command_args),
         "capacity" => capacity::command(command_args, &clock),
         "latency" => latency::command(command_args, &clock),
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -2,6 +2,8 @@
 //!
 //! Labels have low cardinality: kinds of requests, outcomes and reasons, but never names.
 
+mod evenness;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,8 +13,10 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use samphiresill_core::routing::RequestKind;
+use samphiresill_sched::fleet::balance::evenness::Summary;
 use samphiresill_telemetry::exposition::Exposition;
 
+use self::evenness::EvennessGauges;
 use crate::relay::framing::Framing;
 use crate::responder::{self, FullResponse};
 
@@ -90,6 +94,7 @@
     revision: Gauge<u64>,
     targets: Gauge<u64>,
     task_restarts: Counter<u64>,
+    evenness: EvennessGauges,
 }
 
 impl Metrics {
@@ -119,6 +124,7 @@
             revision: meter.u64_gauge("gateway_configuration_revision").build(),
             targets: meter.u64_gauge("gateway_targets").build(),
             task_restarts: meter.u64_counter("gateway_task_restarts").build(),
+            evenness: EvennessGauges::new(&meter),
         })
     }
 
@@ -200,6 +206,11 @@
         self.targets.record(targets as u64, &[]);
     }
 
+    /// Records how evenly the targets are loaded, of the services in `summaries` the worst.
+    pub fn record_evenness<'a>(&self, summaries: impl Iterator<Item = &'a Summary>) {
+        self.evenness.record(summaries);
+    }
+
     /// Returns the counter of tasks that were started again.
     #[must_use]
     pub fn task_restarts(&self) -> Counter<u64> {
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -13,6 +13,7 @@
 use samphiresill_member::store_watch::{Reason, StoreWatch};
 use samphiresill_sched::fleet::directive::rate_limit::LimitShare;
 
+use super::evenness_log::EvennessLog;
 use super::frame::Frame;
 use super::limit_log::LimitLog;
 use super::quarantine::NoticesSent;
@@ -70,6 +71,7 @@
     pub(super) is_fetching: Arc<AtomicBool>,
     pub(super) notices_sent: NoticesSent,
     pub(super) limit_log: LimitLog,
+    pub(super) evenness_log: EvennessLog,
 }
 
 impl Driver {
@@ -127,6 +129,7 @@
             is_fetching: Arc::default(),
             notices_sent: NoticesSent::default(),
             limit_log: LimitLog::default(),
+            evenness_log: EvennessLog::default(),
         }
     }
 
@@ -290,6 +293,9 @@
         } else if self.gateway.fleet_load().has_unjudged_crashes(now) {
             self.judge_crashes(now);
         }
+        if self.scheduler_since.is_some() {
+            self.evenness_log.update(&self.gateway, now);
+        }
         self.send_notices(now).await;
         // Heartbeats reach more gateways than events do, so events do not replace them.
         let is_due = now.saturating_sub(self.heartbeat_sent_at) >= HEARTBEAT_INTERVAL;
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -8,6 +8,7 @@
 //! peer, also when the store does not respond to it.
 
 pub mod driver;
+mod evenness_log;
 pub mod frame;
 mod limit_log;
 mod load;
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -148,7 +148,7 @@
         .shortest_objective
         .min(candidate.latency_objective);
     let objective_s = (candidate.latency_objective.as_secs_f64() * shortest.as_secs_f64()).sqrt();
-    let max_delay = Duration::from_secs_f64(objective_s * MAX_WAIT_FRACTION);
+    let max_delay = max_delay(Duration::from_secs_f64(objective_s));
     // The latency is the same for all customers; what is left of the bound depends on the share.
     let max_wait = max_delay
         .saturating_sub(candidate.first_event_latency)
@@ -193,6 +193,12 @@
     })
 }
 
+/// Returns the maximum time to the first event without the prefill of the own prompt.
+#[must_use]
+pub fn max_delay(objective: Duration) -> Duration {
+    objective.mul_f64(MAX_WAIT_FRACTION)
+}
+
 /// Returns the retry delay: spread over half to one and a half times `delay`, within the delay that
 /// callers honour.
 #[must_use]
--- a/samphiresill-sched/src/fleet/balance/mod.rs
+++ b/samphiresill-sched/src/fleet/balance/mod.rs
@@ -15,6 +15,7 @@
 
 #[cfg(any(test, feature = "model"))]
 pub mod alternatives;
+pub mod evenness;
 mod owners;
 mod traffic;
 
--- a/samphiresill-sched/src/fleet/shortest_objective.rs
+++ b/samphiresill-sched/src/fleet/shortest_objective.rs
@@ -19,6 +19,12 @@
 }
 
 impl ShortestObjective {
+    /// Returns the estimate; `None` before the first request.
+    #[must_use]
+    pub fn get(&self) -> Option<Duration> {
+        Some(self.objective).filter(|objective| !objective.is_zero())
+    }
+
     /// Updates the estimate with the objective of a request, and returns it.
     pub fn observe(&mut self, objective: Duration) -> Duration {
         let grown = self.objective.mul_f64(1.0 + GROWTH);
--- a/samphiresill-timeline/src/lib.rs
+++ b/samphiresill-timeline/src/lib.rs
@@ -5,6 +5,7 @@
 //! or as an HTML page ([`html`]), or summarized in sentences ([`explain`]).
 
 pub mod clocks;
+pub mod evenness;
 pub mod explain;
 pub mod filter;
 pub mod html;
--- a/samphiresill-timeline/src/tests/mod.rs
+++ b/samphiresill-timeline/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests on log records in the format that gateways write.
 
 mod alignment;
+mod evenness;
 mod explanations;
 mod selection;
 
