--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -2,6 +2,8 @@
 //!
 //! Labels have low cardinality: kinds of requests, outcomes and reasons, but never names.
 
+mod evenness;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,8 +13,10 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use samphiresill_core::routing::RequestKind;
+use samphiresill_sched::fleet::balance::evenness::Summary;
 use samphiresill_telemetry::exposition::Exposition;
 
+use self::evenness::EvennessGauges;
 use crate::relay::framing::Framing;
 use crate::responder::{self, FullResponse};
 
@@ -94,6 +98,7 @@
     targets: Gauge<u64>,
     evacuated_domains: Gauge<u64>,
     task_restarts: Counter<u64>,
+    evenness: EvennessGauges,
 }
 
 impl Metrics {
@@ -127,6 +132,7 @@
             targets: meter.u64_gauge("gateway_targets").build(),
             evacuated_domains: meter.u64_gauge("gateway_evacuated_domains").build(),
             task_restarts: meter.u64_counter("gateway_task_restarts").build(),
+            evenness: EvennessGauges::new(&meter),
         })
     }
 
@@ -228,6 +234,11 @@
         self.evacuated_domains.record(domains as u64, &[]);
     }
 
+    /// Records how evenly the targets are loaded, of the services in `summaries` the worst.
+    pub fn record_evenness<'a>(&self, summaries: impl Iterator<Item = &'a Summary>) {
+        self.evenness.record(summaries);
+    }
+
     /// Returns the counter of tasks that were started again.
     #[must_use]
     pub fn task_restarts(&self) -> Counter<u64> {
--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -15,6 +15,7 @@
 
 use super::cold_log::ColdLog;
 use super::cold_share::{ColdShares, View};
+use super::evenness_log::EvennessLog;
 use super::frame::Frame;
 use super::limit_log::LimitLog;
 use super::quarantine::NoticesSent;
@@ -74,6 +75,7 @@
     pub(super) limit_log: LimitLog,
     pub(super) cold_shares: ColdShares,
     pub(super) cold_log: ColdLog,
+    pub(super) evenness_log: EvennessLog,
 }
 
 impl Driver {
@@ -129,6 +131,7 @@
             limit_log: LimitLog::default(),
             cold_shares: ColdShares::new(now),
             cold_log: ColdLog::default(),
+            evenness_log: EvennessLog::default(),
         }
     }
 
@@ -239,6 +242,7 @@
         self.peers
             .set_schedulers(is_scheduler, &self.roles.order_for(&own));
         self.drop_dead_peers();
+        self.drop_old_views();
         let usable = self.membership.usable().len();
         // Dead members are included: one that is only partitioned from this gateway may still send
         // requests.
@@ -307,6 +311,9 @@
         } else if self.gateway.fleet_load().has_unjudged_crashes(now) {
             self.judge_crashes(now);
         }
+        if self.scheduler_since.is_some() {
+            self.evenness_log.update(&self.gateway, now);
+        }
         self.send_notices(now).await;
         self.send_cold_news(now).await;
         // Heartbeats reach more gateways than events do, so events do not replace them.
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod cold_log;
 pub(crate) mod cold_share;
 pub mod driver;
+mod evenness_log;
 pub mod frame;
 mod limit_log;
 mod load;
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! Invariant: a run is counted on at most one target, and only until its end is known.
 
+mod balanced;
 mod cold_start;
 mod crashes;
 mod directives;
@@ -26,6 +27,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::target::{Target, TargetLoad};
+use super::balance::Balance;
 use super::cold_start::ColdStarts;
 use super::directive::Directives;
 use super::engine::Estimate;
@@ -98,6 +100,7 @@
     cold_diversions: u64,
     /// When signs of restarts were last repeated.
     cold_repeated_at: Duration,
+    balance: Balance,
     /// Failure domains whose targets get no requests.
     evacuated: BTreeSet<DomainName>,
     /// Events to send to the other routers.
@@ -128,6 +131,7 @@
             cold_starts: ColdStarts::new(origin),
             cold_diversions: 0,
             cold_repeated_at: Duration::ZERO,
+            balance: Balance::new(origin),
             evacuated: BTreeSet::new(),
             outbox: Vec::new(),
         }
@@ -162,6 +166,7 @@
             }
             self.targets.insert(entry.name.clone(), target);
         }
+        self.set_balanced_services(table);
     }
 
     /// Returns the ID of a new run of this router.
@@ -176,6 +181,7 @@
     /// Counts a run of this router that another router has placed.
     pub fn adopt(&mut self, placement: &Placement, req: &PlacementRequest<'_>, now: Duration) {
         let event = started_event(placement, req);
+        self.record_start(&event, true, now);
         self.apply_event(&event, now);
         self.track_own_run(placement, now);
     }
@@ -245,6 +251,7 @@
     pub fn apply(&mut self, events: Vec<Event>, is_relayed: bool, now: Duration) {
         for event in events {
             self.count_remote_demand(&event, now);
+            self.record_start(&event, false, now);
             self.apply_event(&event, now);
             if is_relayed {
                 self.outbox.push(event);
@@ -348,6 +355,9 @@
             })
         };
         let mut ended = Vec::new();
+        if active.is_none() {
+            self.balance.remove_view(origin);
+        }
         for (name, target) in &self.targets {
             let runs = target.load.runs_of(origin).into_iter();
             ended.extend(
@@ -415,6 +425,7 @@
 
     /// Applies an event of this router and queues it for the other routers.
     fn publish(&mut self, event: Event, now: Duration) {
+        self.record_start(&event, true, now);
         self.apply_event(&event, now);
         self.outbox.push(event);
     }
--- a/samphiresill-sched/src/fleet/load/place_engine.rs
+++ b/samphiresill-sched/src/fleet/load/place_engine.rs
@@ -8,6 +8,7 @@
 use super::target::{Target, TargetLoad};
 use super::unavailable::Unavailable;
 use crate::fleet::admission::Reason;
+use crate::fleet::balance::Offer;
 use crate::fleet::directive::rate_limit::Claim;
 use crate::fleet::engine::Estimate;
 use crate::fleet::pause::LateStreams;
@@ -49,7 +50,8 @@
 }
 
 impl FleetLoad {
-    /// Returns the engine with the lowest cost of a request.
+    /// Returns the engine for a request: the one with the lowest cost, or one of similar cost where
+    /// the load of the service is balanced. `jitter` is uniform over 0 to 1.
     ///
     /// # Errors
     /// Returns why no engine can get the request.
@@ -58,10 +60,12 @@
         req: &PlacementRequest<'_>,
         generation: &Generation,
         claim: Claim,
+        jitter: f64,
         now: Duration,
     ) -> Result<EngineChoices, Unavailable> {
         let mut unavailable = Unavailable::from(Reason::NoTarget);
-        let mut best = Best::default();
+        let (mut offers, mut offered): (Vec<Offer<'_>>, Vec<(&Target, Estimate)>) =
+            Default::default();
         let mut best_with_delays = Best::default();
         let mut total_prefill_rate = 0.0;
         let pause_weight = self
@@ -91,11 +95,13 @@
             if delayed_streams < MAX_FALLBACK_DELAYED_STREAMS {
                 best_with_delays.offer(cost, target, estimate);
             }
-            best.offer(
-                cost + DELAYED_STREAM_COST_MS * delayed_streams,
-                target,
-                estimate,
-            );
+            offers.push(Offer {
+                target: &target.entry.name,
+                cost_ms: cost + DELAYED_STREAM_COST_MS * delayed_streams,
+                prefill_tokens: estimate.prefill_tokens,
+                rate: estimate.rate,
+            });
+            offered.push((target, estimate));
         }
         let choice = |target: &Target, estimate: Estimate| {
             let source = copy_source.filter(|_| estimate.copied_tokens > 0);
@@ -108,7 +114,8 @@
                 total_prefill_rate,
             }
         };
-        let (_, target, estimate) = best.0.ok_or(unavailable)?;
+        let chosen = self.balance.choose(req.service, &offers, jitter, now);
+        let (target, estimate) = chosen.map(|index| offered[index]).ok_or(unavailable)?;
         let fallback = best_with_delays.0;
         let fallback = fallback.filter(|(_, other, _)| other.entry.name != target.entry.name);
         Ok(EngineChoices {
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -17,9 +17,11 @@
 //! - a target fails, stalls or slows down under load: [`health`];
 //! - requests with one part of a prompt crash each engine that answers them: [`quarantine`];
 //! - targets restart and take few requests at first: [`cold_start`];
-//! - a target tells that it accepts less load than usual: [`directive`].
+//! - a target tells that it accepts less load than usual: [`directive`];
+//! - many gateways decide at once, based on old views: [`balance`].
 
 pub mod admission;
+pub mod balance;
 pub mod cold_start;
 pub mod directive;
 pub mod engine;
@@ -27,6 +29,8 @@
 pub mod health;
 pub mod interval_correction;
 pub mod load;
+#[cfg(any(test, feature = "model"))]
+pub mod model;
 pub mod overload;
 pub mod pause;
 pub mod plain;
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -5,6 +5,7 @@
 mod cold_start;
 mod decisions;
 mod eligibility;
+mod even_load;
 mod fleet_load;
 mod learning;
 mod patterns;
