--- a/samphiresill-sched/src/fleet/cold_start/mod.rs
+++ b/samphiresill-sched/src/fleet/cold_start/mod.rs
@@ -10,17 +10,19 @@
 
 pub mod share;
 pub mod signs;
+mod target;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use derive_more::Display;
 use samphiresill_core::name::{DomainName, TargetName};
-use samphiresill_core::routing::{ColdStart, RoutingTable, TargetEntry};
+use samphiresill_core::routing::{RoutingTable, TargetEntry};
 use samphiresill_core::units::RequestRate;
 
 use self::share::ColdShare;
-use self::signs::{Sign, Signs};
+use self::signs::Sign;
+use self::target::TargetCold;
 
 /// Time for which the state of a target that is not listed is kept: entries of live targets may lapse
 /// while the store is away.
@@ -62,86 +64,6 @@
     pub rate: RequestRate,
 }
 
-/// `TargetCold` is what a router knows of the starts of one target.
-#[derive(Clone, Debug)]
-struct TargetCold {
-    spec: ColdStart,
-    started_ms: u64,
-    domain: DomainName,
-    listed_at: Option<Duration>,
-    /// When an entry of the instance first said that it is cold.
-    first_read_at: Option<Duration>,
-    /// Until when the entry says that the target is cold.
-    entry_until: Duration,
-    /// Until when the target is cold because its failure domain was evacuated.
-    expected_until: Duration,
-    signs: Signs,
-    /// When the target became cold, from which the first request of this router is delayed.
-    cold_since: Duration,
-    /// When this router last placed a request there.
-    sent_at: Option<Duration>,
-}
-
-impl TargetCold {
-    fn new(entry: &TargetEntry, spec: ColdStart) -> Self {
-        Self {
-            spec,
-            started_ms: entry.started_ms,
-            domain: entry.domain.clone(),
-            listed_at: None,
-            first_read_at: None,
-            entry_until: Duration::ZERO,
-            expected_until: Duration::ZERO,
-            signs: Signs::default(),
-            cold_since: Duration::ZERO,
-            sent_at: None,
-        }
-    }
-
-    fn update(&mut self, entry: &TargetEntry, spec: ColdStart) {
-        if self.started_ms != entry.started_ms {
-            // Only its own entry tells whether another instance is cold.
-            *self = Self {
-                sent_at: self.sent_at,
-                ..Self::new(entry, spec)
-            };
-        }
-        self.spec = spec;
-        self.domain.clone_from(&entry.domain);
-        let Some(cold) = entry.cold else {
-            self.entry_until = Duration::ZERO;
-            return;
-        };
-        self.begin(cold.read_at);
-        // A target whose time never decreases is cold only once.
-        let first_read_at = *self.first_read_at.get_or_insert(cold.read_at);
-        self.entry_until =
-            (cold.read_at + cold.remaining.min(spec.duration)).min(first_read_at + spec.duration);
-    }
-
-    /// Delays the first request from `now` on, unless the target is cold already.
-    fn begin(&mut self, now: Duration) {
-        if self.state(now).is_none() {
-            self.cold_since = now;
-        }
-    }
-
-    /// Returns why the target is cold and how much longer, if that is known.
-    fn state(&self, now: Duration) -> Option<(ColdReason, Option<Duration>)> {
-        let warm_at = |until: Duration| (now < until).then_some(Some(until));
-        let sign = self.signs.iter(now).map(|sign| sign.warm_at);
-        let sign = sign.max_by_key(|at| at.unwrap_or(Duration::MAX));
-        let marks = [
-            (ColdReason::Sign, sign),
-            (ColdReason::Entry, warm_at(self.entry_until)),
-            (ColdReason::Expected, warm_at(self.expected_until)),
-        ];
-        let marks = marks.into_iter().filter_map(|(r, at)| Some((r, at?)));
-        let (reason, at) = marks.max_by_key(|(_, at)| at.unwrap_or(Duration::MAX))?;
-        Some((reason, at.map(|at| at.saturating_sub(now))))
-    }
-}
-
 /// `RepeatedSign` is a sign that a router repeats for others, relative to the time of sending.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RepeatedSign {
