--- a/samphiresill-sched/src/fleet/load/place_plain.rs
+++ b/samphiresill-sched/src/fleet/load/place_plain.rs
@@ -16,7 +16,7 @@
 const MAX_DELAY_FRACTION: f64 = 0.8;
 
 /// Maximum expected delay of a request that begins to wait, as a fraction of the latency objective. In
-/// the replay of bursts, 0.8 makes 3 to 4 times as many answers late, and a wait up to the deadline
+/// the replay of bursts, 0.8 makes about 3 to 5 times as many answers late, and a wait up to the deadline
 /// makes most of them late.
 const MAX_OBJECTIVE_FRACTION: f64 = 0.6;
 /// The same in multiples of the latency of the target, for services that take longer than their
