--- a/samphiresill-tests/tests/failure.rs
+++ b/samphiresill-tests/tests/failure.rs
@@ -249,3 +249,35 @@
     }
     assert_eq!(started(), before);
 }
+
+/// Guards against requests to an evacuated failure domain, and against one that does not return to service.
+#[test]
+fn an_evacuated_failure_domain_receives_no_new_requests_until_it_is_restored() {
+    let fleet = Fleet::start("evacuate", 2, STEP_US);
+    let ctl = |args: &[&str], expected: i32| {
+        let (code, text) = fleet.run_ctl(args);
+        assert_eq!(code, expected, "{text}");
+        text
+    };
+    assert!(!ctl(&["status"], 0).contains("evacuated"));
+    ctl(&["evacuate", "d0"], 0);
+    assert!(ctl(&["status"], 0).contains("evacuated: d0\n"));
+    let started = || get_json(fleet.engines[0], "/load")["exact"]["started"].as_u64();
+    let serve = |when: &str| {
+        for number in 0..20 {
+            let prompt = format!("{when} {number} len=2");
+            assert_eq!(
+                fleet.complete(number % 2, &prompt).text(),
+                text::completion(&prompt, usize::MAX)
+            );
+        }
+    };
+    let before = started();
+    serve("during the evacuation");
+    assert_eq!(started(), before);
+    ctl(&["restore", "d0"], 0);
+    assert!(!ctl(&["status"], 0).contains("evacuated"));
+    ctl(&["restore", "d0"], 2);
+    serve("after the evacuation");
+    assert!(started() > before);
+}
