--- a/samphiresill-sched/src/fleet/model/mod.rs
+++ b/samphiresill-sched/src/fleet/model/mod.rs
@@ -5,25 +5,25 @@
 //! engines prefill prompts in order of arrival.
 
 mod engine;
+mod params;
 mod report;
+mod setup;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use samphiresill_core::name::{DomainName, ServiceName, TargetName};
-use samphiresill_core::routing::{
-    CallerLimits, EngineSpec, RequestKind, Route, RoutingTable, Service, TargetEntry, TargetState,
-};
+use samphiresill_core::name::{DomainName, TargetName};
+use samphiresill_core::routing::TargetEntry;
 
 use self::engine::Engine;
+pub use self::params::{Choice, Fault, Params};
 pub use self::report::Report;
 use self::report::Samples;
-use super::balance::alternatives::Alternative;
+use self::setup::{alternative, entry, service, spec, table};
 use super::event::{Event, RunResult};
 use super::load::{FleetLoad, Placement};
 use super::request::{Generation, PlacementRequest, PromptPart, RunId};
@@ -45,73 +45,6 @@
 /// Range of the length of the output, in tokens.
 const OUTPUT_TOKENS: std::ops::Range<u32> = 60..200;
 
-/// `Choice` is how deciders select an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Choice {
-    /// One decider that knows of each event at once.
-    Perfect,
-    /// A random engine.
-    Random,
-    /// The lowest cost of the own view, as without balance.
-    Lowest,
-    /// The balance of the product.
-    Balanced,
-    /// The cheaper of two random engines within a margin.
-    Sampled,
-    /// An owner for each engine.
-    Owned,
-    /// A part of the engines for each decider.
-    Subsets,
-    /// Engines that offer themselves when they have answered and are idle.
-    Offers,
-}
-
-/// `Params` describes one run of the model.
-#[derive(Clone, Copy, Debug)]
-pub struct Params {
-    /// How deciders select.
-    pub choice: Choice,
-    /// Number of deciders.
-    pub deciders: usize,
-    /// Number of engines.
-    pub engines: usize,
-    /// Mean age of views.
-    pub age: Duration,
-    /// Load relative to the capacity of all engines.
-    pub utilisation: f64,
-    /// Time during which samples are taken.
-    pub span: Duration,
-    /// Fraction of the frames that is lost.
-    pub loss: f64,
-    /// What else goes wrong after the warm-up.
-    pub fault: Fault,
-    /// Seed of the random numbers.
-    pub seed: u64,
-}
-
-/// `Fault` is what goes wrong during a run of the model.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Fault {
-    /// Nothing.
-    #[default]
-    None,
-    /// No frame of the first decider arrives any more.
-    StoppedView,
-    /// Every frame arrives twice, the second time 200 ms late and so out of order.
-    Duplicated,
-    /// The first decider neither decides nor receives for five seconds, then gets what it missed
-    /// only with the next frames.
-    Suspended,
-    /// Half of the deciders die; the others learn of it after one second.
-    HalfDead,
-    /// The first event of each stream of one engine comes at once, as if it were idle.
-    FalseLoad,
-    /// Half of the requests come to the first decider.
-    Uneven,
-    /// One prefix is part of half of the prompts.
-    HotPrefix,
-}
-
 #[derive(Clone, Debug)]
 enum Step {
     Arrival,
@@ -468,73 +401,3 @@
         others.map(|(name, _)| name.clone()).collect()
     }
 }
-
-fn alternative(params: &Params, decider: usize) -> Option<Alternative> {
-    let deciders = params.deciders;
-    match params.choice {
-        Choice::Perfect | Choice::Lowest | Choice::Offers => Some(Alternative::Lowest),
-        Choice::Random => None,
-        Choice::Balanced => Some(Alternative::AnyNumber),
-        Choice::Sampled => Some(Alternative::Sampled),
-        Choice::Owned => Some(Alternative::Owned { decider, deciders }),
-        Choice::Subsets => {
-            let size = (params.engines / 4).max(8);
-            Some(Alternative::Subset { decider, size })
-        }
-    }
-}
-
-fn service() -> ServiceName {
-    ServiceName::from("model")
-}
-
-fn spec() -> EngineSpec {
-    EngineSpec {
-        slots: 48,
-        kv_cache_tokens: 600_000,
-        tokens_per_event: 10,
-        kv_bytes_per_token: 18_432,
-        link_mbps: 740_000,
-    }
-}
-
-fn table() -> RoutingTable {
-    let route = Route {
-        name: "model".into(),
-        host: "model".into(),
-        prefix: "/".into(),
-        request_kind: RequestKind::Idempotent,
-        timeout: Duration::from_secs(20),
-        latency_objective: Duration::from_millis(600),
-        event_interval_objective: Some(Duration::from_millis(400)),
-        max_attempts: 2,
-        services: vec![(service(), 1)],
-        allows_anonymous: true,
-    };
-    let service = Service {
-        name: service(),
-        health_path: "/health".into(),
-        max_connections: 100,
-        engine: Some(spec()),
-    };
-    let limits = CallerLimits {
-        head_bytes: 8_192,
-        body_bytes: 1 << 20,
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-        fleet_tokens_per_s: None,
-    };
-    RoutingTable::new(1, vec![route], vec![service], BTreeMap::new(), limits)
-}
-
-fn entry(number: usize) -> TargetEntry {
-    TargetEntry {
-        name: TargetName::from(format!("e{number:04}")),
-        service: service(),
-        address: ([127, 0, 0, 1], 9_000 + number as u16).into(),
-        domain: DomainName::from(Arc::from("d0")),
-        slots: spec().slots,
-        state: TargetState::Ready,
-        started_ms: 0,
-    }
-}
