--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -112,6 +112,10 @@
         instance_id: u64,
     ) -> anyhow::Result<Arc<Self>> {
         let metrics = Metrics::new()?;
+        let mut fleet_load = FleetLoad::new(instance_id);
+        if !settings.balances_load {
+            fleet_load.disable_balance();
+        }
         let gateway = Self {
             supervisor: Supervisor::new(Arc::clone(&clock), metrics.task_restarts()),
             domain: settings.domain.clone(),
@@ -127,7 +131,7 @@
             routing_state,
             crash_probes: CrashProbes::default(),
             quarantine_changed: watch::channel(0).0,
-            fleet_load: Mutex::new(FleetLoad::new(instance_id)),
+            fleet_load: Mutex::new(fleet_load),
             stream_limiter: Mutex::default(),
             streams: Arc::default(),
             retry_budgets: Mutex::default(),
--- a/samphiresill-gateway/src/settings.rs
+++ b/samphiresill-gateway/src/settings.rs
@@ -25,6 +25,11 @@
     pub limits: Limits,
     /// Limits on the behaviour of the fleet that the operators have fixed.
     pub bounds: Bounds,
+    /// Whether requests are spread over engines of similar cost while the views of the schedulers are
+    /// old. It evens out the load of engines that crash when they are overloaded; elsewhere it refused
+    /// more requests than it saved.
+    #[serde(default)]
+    pub balances_load: bool,
     /// Log level: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/samphiresill-sched/src/fleet/load/balanced.rs
+++ b/samphiresill-sched/src/fleet/load/balanced.rs
@@ -27,8 +27,17 @@
         &mut self.balance
     }
 
+    /// Switches the balance of load off, whatever the configuration asks for.
+    pub fn disable_balance(&mut self) {
+        self.is_balance_disabled = true;
+        self.balance.set_services(BTreeMap::new());
+    }
+
     /// Balances the services of the routes that state an objective for the interval of events.
     pub(super) fn set_balanced_services(&mut self, table: &RoutingTable) {
+        if self.is_balance_disabled {
+            return;
+        }
         let routes = table.routes();
         let stating = routes.filter(|r| r.event_interval_objective.is_some());
         let mut services: BTreeMap<ServiceName, Vec<TargetName>> = stating
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -101,6 +101,7 @@
     /// When signs of restarts were last repeated.
     cold_repeated_at: Duration,
     balance: Balance,
+    is_balance_disabled: bool,
     /// Failure domains whose targets get no requests.
     evacuated: BTreeSet<DomainName>,
     /// Events to send to the other routers.
@@ -132,6 +133,7 @@
             cold_diversions: 0,
             cold_repeated_at: Duration::ZERO,
             balance: Balance::new(origin),
+            is_balance_disabled: false,
             evacuated: BTreeSet::new(),
             outbox: Vec::new(),
         }
