--- a/samphiresill-gateway/src/settings.rs
+++ b/samphiresill-gateway/src/settings.rs
@@ -26,8 +26,7 @@
     /// Limits on the behaviour of the fleet that the operators have fixed.
     pub bounds: Bounds,
     /// Whether requests are spread over engines of similar cost while the views of the schedulers are
-    /// old. It evens out the load of engines that crash when they are overloaded; elsewhere it refused
-    /// more requests than it saved.
+    /// old. For engines that crash when they are overloaded.
     #[serde(default)]
     pub balances_load: bool,
     /// Log level: error, warn, info, debug or trace.
--- a/samphiresill-sched/src/fleet/load/place_plain.rs
+++ b/samphiresill-sched/src/fleet/load/place_plain.rs
@@ -15,9 +15,8 @@
 /// several times the mean.
 const MAX_DELAY_FRACTION: f64 = 0.8;
 
-/// Maximum expected delay of a request that begins to wait, as a fraction of the latency objective. In
-/// the replay of bursts, 0.8 makes about 3 to 5 times as many answers late, and a wait up to the deadline
-/// makes most of them late.
+/// Maximum expected delay of a request that begins to wait, as a fraction of the latency objective. The
+/// rest is for requests that take longer than expected.
 const MAX_OBJECTIVE_FRACTION: f64 = 0.6;
 /// The same in multiples of the latency of the target, for services that take longer than their
 /// objective.
--- a/samphiresill-sched/src/fleet/plain/room.rs
+++ b/samphiresill-sched/src/fleet/plain/room.rs
@@ -8,7 +8,7 @@
 
 /// Requests that a target gets at most, in multiples of its slots. Events from other routers are
 /// 25 ms old and waiting requests look for a target every few tens of milliseconds; some requests
-/// beyond the slots keep these busy meanwhile. In the replay of bursts 1.25 and 2.0 make more answers late.
+/// beyond the slots keep these busy meanwhile.
 const MAX_ROUNDS: f64 = 1.5;
 /// Factor on the room after a rejection.
 const DECREASE: f64 = 0.7;
