--- a/review/kit-2/base.rs
+++ b/review/kit-2/base.rs
@@ -25,7 +25,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { start: Instant::now(), lines: Arc::default() }
+        Self {
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
     }
     pub fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
@@ -53,7 +56,11 @@
         self.headers.get(name).map_or("", String::as_str)
     }
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
     pub fn path(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
@@ -78,7 +85,8 @@
         if head.first.is_empty() {
             line.clone_into(&mut head.first);
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+            head.headers
+                .insert(name.to_ascii_lowercase(), value.trim().to_owned());
         }
     }
 }
@@ -168,13 +176,20 @@
         let ver = rows.0;
         rows.1.retain(|r| r.table != table || r.key != key);
         let value = value.map(|v| base64(v.as_bytes()));
-        rows.1.push(Row { table: table.to_owned(), key: key.to_owned(), value, ver });
+        rows.1.push(Row {
+            table: table.to_owned(),
+            key: key.to_owned(),
+            value,
+            ver,
+        });
         self.changed.notify_all();
         ver
     }
 
     fn serve(&self, stream: &TcpStream) {
-        let Ok(mut output) = stream.try_clone() else { return };
+        let Ok(mut output) = stream.try_clone() else {
+            return;
+        };
         let mut input = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut input) {
             let _ = read_body(&mut input, &head);
@@ -204,14 +219,22 @@
         let (call, query) = path.split_once('?').unwrap_or((path, ""));
         let get = |name: &str| {
             let pair = query.split('&').filter_map(|p| p.split_once('='));
-            pair.into_iter().find(|(n, _)| *n == name).map_or("", |(_, v)| v).to_owned()
+            pair.into_iter()
+                .find(|(n, _)| *n == name)
+                .map_or("", |(_, v)| v)
+                .to_owned()
         };
         let table = get("table");
         let now_ms = self.start.elapsed().as_millis();
         match call {
             "/samphiresill/rows-get" => {
                 let rows = self.rows.lock().unwrap();
-                let mut own: Vec<Row> = rows.1.iter().filter(|r| r.table == table && r.value.is_some()).cloned().collect();
+                let mut own: Vec<Row> = rows
+                    .1
+                    .iter()
+                    .filter(|r| r.table == table && r.value.is_some())
+                    .cloned()
+                    .collect();
                 own.sort_by(|a, b| a.key.cmp(&b.key));
                 (200, page(&own, rows.0, now_ms))
             }
@@ -221,7 +244,12 @@
                 let until = Instant::now() + wait;
                 let mut rows = self.rows.lock().unwrap();
                 loop {
-                    let mut own: Vec<Row> = rows.1.iter().filter(|r| r.table == table && r.ver > after).cloned().collect();
+                    let mut own: Vec<Row> = rows
+                        .1
+                        .iter()
+                        .filter(|r| r.table == table && r.ver > after)
+                        .cloned()
+                        .collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !own.is_empty() || left.is_zero() {
                         own.sort_by_key(|r| r.ver);
@@ -243,10 +271,33 @@
                 Some(value) => format!(r#""value":"{value}""#),
                 None => r#""deleted":true"#.to_owned(),
             };
-            format!(r#"{{"table":"{}","part":"","key":"{}",{value},"ver":{}}}"#, r.table, r.key, r.ver)
+            format!(
+                r#"{{"table":"{}","part":"","key":"{}",{value},"ver":{}}}"#,
+                r.table, r.key, r.ver
+            )
         })
         .collect();
-    format!(r#"{{"rows":[{}],"ver":{ver},"now_ms":{now_ms},"truncated":false}}"#, rows.join(","))
+    format!(
+        r#"{{"rows":[{}],"ver":{ver},"now_ms":{now_ms},"truncated":false}}"#,
+        rows.join(",")
+    )
+}
+
+/// A temporary folder, which is removed with its content.
+pub struct TempDir(pub PathBuf);
+
+impl TempDir {
+    pub fn create(name: &str) -> io::Result<Self> {
+        let path = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        fs::create_dir_all(&path)?;
+        Ok(Self(path))
+    }
+}
+
+impl Drop for TempDir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
 }
 
 /// A gateway process, started with the command of the deploy file.
@@ -257,12 +308,23 @@
 }
 
 impl Gateway {
-    pub fn start(name: &str, dir: &Path, store: SocketAddr, addresses: &Addresses, seeds: &[SocketAddr], zone: &str) -> io::Result<Self> {
+    pub fn start(
+        name: &str,
+        dir: &Path,
+        store: SocketAddr,
+        addresses: &Addresses,
+        seeds: &[SocketAddr],
+        zone: &str,
+    ) -> io::Result<Self> {
         let settings: PathBuf = dir.join(format!("{name}.jsonc"));
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let text = format!(
             r#"{{"vm":"{name}","domain":"{zone}","listen":{{"callers":"{}","readiness":"{}","peers":"{}","metrics":"{}"}},"seeds":[{}],"store":"{store}","balances_load":false,"limits":{{"memory_mb":110,"descriptors":4100,"cores":0.25}},"bounds":{{"stop_grace_s":8,"retry_ratio":0.2,"retry_slack":58}}}}"#,
-            addresses.front, addresses.ready, addresses.peers, addresses.metrics, seeds.join(",")
+            addresses.front,
+            addresses.ready,
+            addresses.peers,
+            addresses.metrics,
+            seeds.join(",")
         );
         fs::write(&settings, text)?;
         let log = fs::File::create(dir.join(format!("{name}.log")))?;
@@ -273,7 +335,11 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Self { front: addresses.front, ready: addresses.ready, child })
+        Ok(Self {
+            front: addresses.front,
+            ready: addresses.ready,
+            child,
+        })
     }
 
     pub fn signal(&self, signal: i32) {
@@ -316,7 +382,9 @@
     let ask = || -> io::Result<bool> {
         let mut stream = TcpStream::connect_timeout(&address, timeout)?;
         stream.set_read_timeout(Some(timeout))?;
-        stream.write_all(b"GET /samphiresill/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")?;
+        stream.write_all(
+            b"GET /samphiresill/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n",
+        )?;
         let head = read_head(&mut BufReader::new(stream))?;
         Ok(head.is_some_and(|h| h.status() == 200))
     };
@@ -344,7 +412,12 @@
                 break;
             }
         }
-        let of = |a: &[SocketAddr]| Self { front: a[0], ready: a[1], peers: a[2], metrics: a[3] };
+        let of = |a: &[SocketAddr]| Self {
+            front: a[0],
+            ready: a[1],
+            peers: a[2],
+            metrics: a[3],
+        };
         Ok(free.chunks_exact(4).map(of).collect())
     }
 }
@@ -359,7 +432,15 @@
 }
 
 /// Entry of a server in the store.
-pub fn entry(service: &str, address: SocketAddr, zone: &str, slots: u32, state: &str, born: u64, sequence: u64) -> String {
+pub fn entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    state: &str,
+    born: u64,
+    sequence: u64,
+) -> String {
     format!(
         r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"1","slots":{slots},"state":"{state}","cold_remaining_ms":0,"sequence":{sequence},"born":{born}}}"#
     )
--- a/review/kit-2/drain.rs
+++ b/review/kit-2/drain.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
-use base::{Addresses, Gateway, Record, Store};
+use base::{Addresses, Gateway, Record, Store, TempDir};
 
 /// `drain_timeout_ms` of the sheet, in seconds.
 const DRAIN_TIMEOUT: f64 = 2.0;
@@ -41,7 +41,9 @@
     let record_path = PathBuf::from(std::env::args().nth(1).expect("path of the record"));
     let record = Record::new();
     let broken = run(has_trouble, &record);
-    record.save(&record_path).expect("the record can be written");
+    record
+        .save(&record_path)
+        .expect("the record can be written");
     std::process::exit(broken.map_or(2, i32::from));
 }
 
@@ -62,16 +64,25 @@
     (0..SERVERS).for_each(put_server);
     store.put("op", "config", Some(CONFIG));
 
-    let dir = std::env::temp_dir().join(format!("review-6-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).ok()?;
+    let dir = TempDir::create("review-6").ok()?;
     // The gateways with the lowest addresses of their zones watch the store.
-    let mut addresses = Addresses::free(GATEWAYS).ok().filter(|a| a.len() == GATEWAYS)?;
+    let mut addresses = Addresses::free(GATEWAYS)
+        .ok()
+        .filter(|a| a.len() == GATEWAYS)?;
     addresses.sort_by_key(|a| a.peers);
     let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|a| a.peers).collect();
     let start = |i: usize| {
         // The survivors are in the zone of the server that leaves, and in the next one.
         let zone = format!("zone-{}", (i + 2) % 3);
-        Gateway::start(&format!("front-{i}"), &dir, store.address, &addresses[i], &seeds, &zone).ok()
+        Gateway::start(
+            &format!("front-{i}"),
+            &dir.0,
+            store.address,
+            &addresses[i],
+            &seeds,
+            &zone,
+        )
+        .ok()
     };
     let mut gateways = Vec::new();
     for i in 0..GATEWAYS {
@@ -107,10 +118,14 @@
         thread::sleep(DOWN_TIME / 4);
         store.put("servers", &format!("i-{leaving}"), None);
         let left_at = record.now();
-        record.add(format!("server {leaving} leaves: the store has acknowledged that its entry is removed"));
+        record.add(format!(
+            "server {leaving} leaves: the store has acknowledged that its entry is removed"
+        ));
         thread::sleep(DOWN_TIME / 4);
         put_server(added);
-        record.add(format!("server {added} has started: its entry is in the store"));
+        record.add(format!(
+            "server {added} has started: its entry is in the store"
+        ));
         thread::sleep(DOWN_TIME / 2);
         if has_trouble {
             for i in 0..KILLED {
@@ -122,7 +137,9 @@
         is_sending.store(true, Ordering::Relaxed);
         thread::sleep(Duration::from_secs(4));
         let arrivals = arrivals.lock().unwrap();
-        let counted = arrivals.iter().filter(|(at, ..)| *at > left_at + DRAIN_TIMEOUT);
+        let counted = arrivals
+            .iter()
+            .filter(|(at, ..)| *at > left_at + DRAIN_TIMEOUT);
         all += counted.clone().count();
         late += counted.filter(|(_, server, _)| *server == leaving).count();
         record.add(format!("requests later than 2 s after an acknowledgement: {all}, of them at the server that left: {late}"));
@@ -135,7 +152,11 @@
 }
 
 /// Starts a server. It serves on to the end, also after its entry is removed.
-fn start_server(number: usize, record: &Record, arrivals: &Arrivals) -> std::io::Result<SocketAddr> {
+fn start_server(
+    number: usize,
+    record: &Record,
+    arrivals: &Arrivals,
+) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let (record, arrivals) = (record.clone(), Arc::clone(arrivals));
@@ -144,12 +165,17 @@
             let (record, arrivals) = (record.clone(), Arc::clone(&arrivals));
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let Ok(mut output) = stream.try_clone() else { return };
+                let Ok(mut output) = stream.try_clone() else {
+                    return;
+                };
                 let mut input = BufReader::new(stream);
                 while let Ok(Some(head)) = base::read_head(&mut input) {
                     let _ = base::read_body(&mut input, &head);
                     let id = head.get("x-samphiresill-attempt-id").to_owned();
-                    arrivals.lock().unwrap().push((record.now(), number, id.clone()));
+                    arrivals
+                        .lock()
+                        .unwrap()
+                        .push((record.now(), number, id.clone()));
                     record.add(format!("server {number}: order {id} arrives and runs"));
                     thread::sleep(Duration::from_millis(15));
                     let answer = format!(
@@ -166,7 +192,13 @@
 }
 
 /// Sends orders to a gateway, one after another on a kept connection.
-fn send_orders(name: &str, front: SocketAddr, record: &Record, is_sending: &AtomicBool, is_over: &AtomicBool) {
+fn send_orders(
+    name: &str,
+    front: SocketAddr,
+    record: &Record,
+    is_sending: &AtomicBool,
+    is_over: &AtomicBool,
+) {
     let mut connection: Option<(TcpStream, BufReader<TcpStream>)> = None;
     let mut number = 0;
     while !is_over.load(Ordering::Relaxed) {
--- a/review/kit-2/silence.rs
+++ b/review/kit-2/silence.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::Duration;
 
-use base::{Addresses, Gateway, Record, Store};
+use base::{Addresses, Gateway, Record, Store, TempDir};
 
 /// Events of a stream, and the time between them.
 const EVENTS: u32 = 42;
@@ -37,7 +37,9 @@
     let record_path = PathBuf::from(std::env::args().nth(1).expect("path of the record"));
     let record = Record::new();
     let broken = run(has_trouble, &record);
-    record.save(&record_path).expect("the record can be written");
+    record
+        .save(&record_path)
+        .expect("the record can be written");
     std::process::exit(broken.map_or(2, i32::from));
 }
 
@@ -50,11 +52,18 @@
         store.put("servers", &format!("i-{number}"), Some(&entry));
     }
     store.put("op", "config", Some(CONFIG));
-    let dir = std::env::temp_dir().join(format!("review-7-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).ok()?;
+    let dir = TempDir::create("review-7").ok()?;
     let addresses = Addresses::free(1).ok()?.pop()?;
     let seeds = [addresses.peers];
-    let mut gateway = Gateway::start("front-0", &dir, store.address, &addresses, &seeds, "zone-0").ok()?;
+    let mut gateway = Gateway::start(
+        "front-0",
+        &dir.0,
+        store.address,
+        &addresses,
+        &seeds,
+        "zone-0",
+    )
+    .ok()?;
     if !gateway.wait_ready() {
         return None;
     }
@@ -85,7 +94,10 @@
         end.is_some_and(|(at, is_complete)| !is_complete && at < stopped_at + 8.0 * 5.0 / 6.0)
     };
     let cut = ends.iter().filter(is_cut).count();
-    record.add(format!("streams: {}, cut although their servers were at work: {cut}", ends.len()));
+    record.add(format!(
+        "streams: {}, cut although their servers were at work: {cut}",
+        ends.len()
+    ));
     ends.iter().all(Option::is_some).then_some(cut > 0)
 }
 
@@ -105,7 +117,12 @@
     Ok(address)
 }
 
-fn serve_engine(number: usize, has_trouble: bool, stream: &TcpStream, record: &Record) -> std::io::Result<()> {
+fn serve_engine(
+    number: usize,
+    has_trouble: bool,
+    stream: &TcpStream,
+    record: &Record,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut output = stream.try_clone()?;
     let mut input = BufReader::new(stream);
@@ -113,19 +130,28 @@
         let _ = base::read_body(&mut input, &head);
         if head.path().starts_with("/samphiresill/kv-list") {
             let body = r#"{"epoch":1,"next":1,"held":[]}"#;
-            write!(output, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+            write!(
+                output,
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )?;
             continue;
         }
         let id = head.get("x-samphiresill-attempt-id");
         let after: u32 = head.get("last-event-id").parse().unwrap_or(0);
-        record.add(format!("engine {number}: {id} runs, from event {}", after + 1));
+        record.add(format!(
+            "engine {number}: {id} runs, from event {}",
+            after + 1
+        ));
         write!(
             output,
             "HTTP/1.1 200 OK\r\nX-Samphiresill-Attempt-Id: {id}\r\nX-Samphiresill-Server-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )?;
         for event in after + 1..=EVENTS {
             if has_trouble && event == after + 1 + EVENTS_BEFORE_PREEMPTION {
-                record.add(format!("engine {number}: {id} is preempted before event {event}"));
+                record.add(format!(
+                    "engine {number}: {id} is preempted before event {event}"
+                ));
                 thread::sleep(PREEMPTION);
                 record.add(format!("engine {number}: {id} goes on"));
             }
@@ -147,14 +173,18 @@
     let mut output = TcpStream::connect_timeout(&front, Duration::from_secs(1)).ok()?;
     output.set_nodelay(true).ok()?;
     // Clients abandon a stream after eight times the pause of the sheet.
-    output.set_read_timeout(Some(Duration::from_millis(4_800))).ok()?;
+    output
+        .set_read_timeout(Some(Duration::from_millis(4_800)))
+        .ok()?;
     let mut input = BufReader::new(output.try_clone().ok()?);
     let id = format!("c{client}");
     let headers = format!(
         "X-Samphiresill-Model: m\r\nX-Samphiresill-Token-Counts: 628,294\r\nX-Samphiresill-Prompt-Prefix: a1:119,b{client}:509\r\n"
     );
     record.add(format!("client: {id} is sent"));
-    output.write_all(base::request("/query/a", &id, BUDGET_MS, &headers, "{}").as_bytes()).ok()?;
+    output
+        .write_all(base::request("/query/a", &id, BUDGET_MS, &headers, "{}").as_bytes())
+        .ok()?;
     let head = base::read_head(&mut input).ok()??;
     let (mut events, mut is_complete) = (0, false);
     loop {
@@ -174,6 +204,8 @@
         }
     }
     let status = head.status();
-    record.add(format!("client: {id} ends, status {status}, {events} events, complete: {is_complete}"));
+    record.add(format!(
+        "client: {id} ends, status {status}, {events} events, complete: {is_complete}"
+    ));
     Some((record.now(), is_complete && events == EVENTS))
 }
