Count what customers ask engines for and why they are refused

Cause: the lines of refusals are limited to five a second and gateway and name no customer, and refusals for the router's own processor are not seen by the schedulers. The hypotheses on the customer below its share can't be told apart by them. Change: each gateway counts asked, begun and refused tokens by customer and reason, and logs the three customers with most refused tokens once a second; a counter by reason. No decision changes.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::callers;
 use crate::connection::pool::{self, Pool};
 use crate::crash_probe::CrashProbes;
+use crate::customer_log::{self, CustomerLog};
 use crate::dialect::Dialect;
 use crate::knowledge::{RoutingState, target_log};
 use crate::log_budget::LogBudget;
@@ -67,6 +68,8 @@
     pub metrics: Metrics,
     /// Rate limit of the log lines that requests write.
     pub log_budget: LogBudget,
+    /// What customers have asked model engines for.
+    pub customer_log: CustomerLog,
     /// Memory budget for buffered bodies.
     pub body_budget: BodyBudget,
     /// Probes of targets whose connections broke.
@@ -126,6 +129,7 @@
             peer_pool: Pool::new(Arc::clone(&clock)),
             metrics,
             log_budget: LogBudget::new(Arc::clone(&clock)),
+            customer_log: CustomerLog::default(),
             clock,
             dialect,
             routing_state,
@@ -324,6 +328,7 @@
         self.supervise("state changes", Self::apply_state_changes);
         self.supervise("idle connections", Self::sweep_idle_connections);
         self.supervise("stream limit", Self::adapt_stream_limit);
+        self.supervise("customer log", Self::log_customers);
         log::info!(vm:% = settings.vm, domain:% = settings.domain; "started");
         stop.await;
         log::info!(in_flight = self.in_flight(); "stopping");
@@ -383,6 +388,13 @@
         }
     }
 
+    async fn log_customers(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(customer_log::SUMMARY_INTERVAL).await;
+            self.customer_log.log_summary();
+        }
+    }
+
     async fn sweep_idle_connections(self: Arc<Self>) {
         loop {
             tokio::time::sleep(IDLE_SWEEP_INTERVAL).await;
--- a/samphiresill-gateway/src/lib.rs
+++ b/samphiresill-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod connection;
 pub mod crash_probe;
+pub mod customer_log;
 pub mod dialect;
 pub mod gateway;
 pub mod knowledge;
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use samphiresill_telemetry::exposition::Exposition;
 
 use self::evenness::EvennessGauges;
+use crate::customer_log::RefusedBy;
 use crate::relay::framing::Framing;
 use crate::responder::{self, FullResponse};
 
@@ -78,6 +79,7 @@
 pub struct Metrics {
     exposition: Exposition,
     requests: Counter<u64>,
+    refused_tokens: Counter<u64>,
     not_admitted: Counter<u64>,
     attempts_failed: Counter<u64>,
     placements: Counter<u64>,
@@ -112,6 +114,7 @@
         Ok(Self {
             exposition,
             requests: meter.u64_counter("gateway_requests").build(),
+            refused_tokens: meter.u64_counter("gateway_refused_tokens").build(),
             not_admitted: meter.u64_counter("gateway_not_admitted").build(),
             attempts_failed: meter.u64_counter("gateway_attempts_failed").build(),
             placements: meter.u64_counter("gateway_placements").build(),
@@ -144,6 +147,12 @@
         self.request_time.record(took.as_secs_f64(), &[kind]);
     }
 
+    /// Counts the weighted tokens of a refused request to a model engine.
+    pub fn record_refused_tokens(&self, by: RefusedBy, tokens: u64) {
+        let label = [KeyValue::new("by", by.to_string())];
+        self.refused_tokens.add(tokens, &label);
+    }
+
     /// Counts a request that was rejected before it was forwarded.
     pub fn record_not_admitted(&self, status: StatusCode) {
         let label = [KeyValue::new("status", i64::from(status.as_u16()))];
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -23,6 +23,7 @@
 use super::stream;
 use crate::body_budget::Reservation;
 use crate::crash_probe;
+use crate::customer_log::RefusedBy;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::log_budget::Kind;
 use crate::metrics;
@@ -461,6 +462,7 @@
     ctx: &RequestContext,
     refusal: &Refusal,
 ) -> Response<ResponseBody> {
+    super::record_refusal(gateway, ctx, RefusedBy::Scheduler(refusal.reason));
     let basis = refusal.basis;
     if gateway.log_budget.allows(Kind::Refused) {
         log::info!(
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -26,6 +26,7 @@
 use self::request_context::RequestContext;
 use self::response::ResponseBody;
 use crate::body_budget::{BodyBuffer, Reservation};
+use crate::customer_log::RefusedBy;
 use crate::dialect::CallerHead;
 use crate::gateway::Gateway;
 use crate::log_budget;
@@ -72,6 +73,14 @@
     }
 }
 
+/// Counts a refused request for its customer.
+fn record_refusal(gateway: &Gateway, ctx: &RequestContext, by: RefusedBy) {
+    if let Some((customer, cost)) = ctx.customer_cost() {
+        let log = &gateway.customer_log;
+        log.record_refusal(&gateway.metrics, customer, by, cost);
+    }
+}
+
 /// Handles a request of a caller.
 pub async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<ResponseBody> {
     let started = gateway.clock.monotonic();
@@ -91,7 +100,11 @@
     if !ctx.is_stream() {
         return forward::forward(gateway, ctx, None).await;
     }
+    if let Some((customer, cost)) = ctx.customer_cost() {
+        gateway.customer_log.record_request(customer, cost);
+    }
     let Some(delivery) = Delivery::new(&gateway.body_budget) else {
+        record_refusal(gateway, &ctx, RefusedBy::Memory);
         let refusal = memory_exhausted("no memory for another stream");
         record_rejection(gateway, Some(&ctx.request), &refusal);
         return refusal.response;
@@ -99,6 +112,7 @@
     if let Some(stream) = gateway.begin_stream() {
         return forward::forward(gateway, ctx, Some((stream, delivery))).await;
     }
+    record_refusal(gateway, &ctx, RefusedBy::StreamLimit);
     if gateway.log_budget.allows(log_budget::Kind::Refused) {
         log::info!(request:% = ctx.request; "refused, processor overloaded");
     }
--- a/samphiresill-gateway/src/relay/request_context.rs
+++ b/samphiresill-gateway/src/relay/request_context.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// The customer of a request to a model engine, and the cost of the request in weighted tokens.
+    #[must_use]
+    pub fn customer_cost(&self) -> Option<(&CustomerName, u64)> {
+        Some((self.customer.as_ref()?, self.generation.as_ref()?.cost()))
+    }
+
     /// Ids of the prompt's parts in order, in hexadecimal, for the log; `None` without a generation.
     #[must_use]
     pub fn prompt_parts(&self) -> Option<String> {
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -534,6 +534,9 @@
             self.first_at = Some(now);
             let took = now.saturating_sub(self.ctx.started);
             self.gateway.metrics.record_first_event(took);
+            if let Some((customer, cost)) = self.ctx.customer_cost() {
+                self.gateway.customer_log.record_begin(customer, cost);
+            }
         }
         let is_due = self
             .reported_at
