--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -8,6 +8,7 @@
 mod even_load;
 mod fleet_load;
 mod learning;
+mod overload;
 mod patterns;
 mod pauses;
 mod plain_bursts;
