--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -6,6 +6,7 @@
 mod decisions;
 mod eligibility;
 mod even_load;
+mod fair_share;
 mod fleet_load;
 mod learning;
 mod overload;
--- a/samphiresill-sched/src/fleet/tests/simulation.rs
+++ b/samphiresill-sched/src/fleet/tests/simulation.rs
@@ -178,6 +178,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     pub customer: String,
+    /// When the request was offered.
+    pub offered_at: Duration,
+    /// Cost of the request in weighted tokens.
+    pub cost: u64,
     pub refused: Option<Refusal>,
     pub first_event: Option<Duration>,
     pub completed: Option<Duration>,
@@ -271,17 +275,28 @@
 
     /// Places one request and records its outcome.
     pub fn offer(&mut self, request: Request) -> Result<Placement, Refusal> {
+        self.offer_after(request, None)
+    }
+
+    /// Places one request that has been queued for `queued`, and records its outcome.
+    pub fn offer_after(
+        &mut self,
+        request: Request,
+        queued: Option<Duration>,
+    ) -> Result<Placement, Refusal> {
         let (service, domain) = (service(), DomainName::from("d0"));
         let run: RunId = self.fleet_load.next_run();
         let jitter = self.rng.random();
-        let placed = self.fleet_load.place(
-            &request.placement_request(&service, &domain),
-            run,
-            jitter,
-            self.now,
-        );
+        let req = PlacementRequest {
+            is_first_attempt: queued.is_none(),
+            waited: queued.unwrap_or_default(),
+            ..request.placement_request(&service, &domain)
+        };
+        let placed = self.fleet_load.place(&req, run, jitter, self.now);
         let mut outcome = Outcome {
             customer: request.customer.to_string(),
+            offered_at: self.now,
+            cost: request.generation.cost(),
             ..Outcome::default()
         };
         match &placed {
