Raise the stream limit quickly while the processor is idle

Cause: timers are late while connections are accepted and refused, not only while streams are relayed. Each late timer lowered the limit by a tenth, also while more streams than the limit were in flight and the last decrease could not show yet, and afterwards the limit rose by 2% in 50 ms while timers were 1 ms late. Change: a decrease while more streams than the limit are in flight needs five late timers; while timers are at most 4 ms late, the limit rises by 10%.

--- a/samphiresill-sched/src/fleet/overload.rs
+++ b/samphiresill-sched/src/fleet/overload.rs
@@ -3,7 +3,8 @@
 //!
 //! Handles the load pattern in which the load balancer sends one router far more callers than its
 //! processor can serve, while others are idle. The router detects overload by late timers and
-//! refuses streams above a learnt limit (additive increase, multiplicative decrease). While it
+//! refuses streams above a learnt limit. A burst of new connections makes timers late, too, so the
+//! limit rises quickly as soon as the processor is idle. While it
 //! refuses many streams, it reports itself as not ready, because the load balancer sends retries to
 //! the same router.
 //!
@@ -19,8 +20,16 @@
 pub const MIN_LIMIT: f64 = 6.0;
 /// Factor on the limit after a late timer.
 const DECREASE_FACTOR: f64 = 0.9;
+/// Number of late timers after which the limit is lowered again although more streams than the limit
+/// are in flight: refusals keep the processor busy, too, and streams take a while to end.
+const DECREASE_INTERVAL: u32 = 5;
+/// Timer lag up to which the processor counts as idle.
+const IDLE_TIMER_LAG: Duration = Duration::from_millis(4);
 /// Increase of the limit after a timer on time: a fraction of the limit, plus a number of streams.
 const INCREASE: (f64, f64) = (0.02, 0.5);
+/// Increase of the limit while the processor is idle, as a fraction of the limit: it doubles within
+/// half a second, before callers that were refused return.
+const IDLE_INCREASE: f64 = 0.1;
 /// Fraction of the limit that must be in use for it to grow.
 const MIN_USE_FRACTION: f64 = 0.7;
 /// `Retry-After` before jitter. The load balancer takes about two seconds to react.
@@ -38,6 +47,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct StreamLimiter {
     limit: f64,
+    /// Late timers since the limit was lowered.
+    late_timers: u32,
     window_started_at: Duration,
     refused: u32,
     out_until: Duration,
@@ -48,6 +59,7 @@
     fn default() -> Self {
         Self {
             limit: f64::INFINITY,
+            late_timers: 0,
             window_started_at: Duration::ZERO,
             refused: 0,
             out_until: Duration::ZERO,
@@ -67,9 +79,15 @@
     pub fn observe(&mut self, lag: Duration, streams: usize) {
         let streams = streams as f64;
         if lag > MAX_TIMER_LAG {
-            self.limit = (self.limit.min(streams) * DECREASE_FACTOR).max(MIN_LIMIT);
+            self.late_timers += 1;
+            if streams <= self.limit || self.late_timers >= DECREASE_INTERVAL {
+                self.limit = (self.limit.min(streams) * DECREASE_FACTOR).max(MIN_LIMIT);
+                self.late_timers = 0;
+            }
         } else if streams > self.limit * MIN_USE_FRACTION {
-            self.limit += self.limit * INCREASE.0 + INCREASE.1;
+            let is_idle = lag <= IDLE_TIMER_LAG;
+            let fraction = if is_idle { IDLE_INCREASE } else { INCREASE.0 };
+            self.limit += self.limit * fraction + INCREASE.1;
         }
     }
 
--- a/samphiresill-sched/src/fleet/tests/fair_share.rs
+++ b/samphiresill-sched/src/fleet/tests/fair_share.rs
@@ -84,9 +84,9 @@
     let mut refused: BTreeSet<(usize, String)> = BTreeSet::new();
     while simulation.now < began + Duration::from_secs(TRAFFIC_S as u64) {
         let now = simulation.now;
-        let second = (now - began).as_secs() as usize;
+        let second = now.saturating_sub(began).as_secs() as usize;
         for customer in customers {
-            if rng.random::<f64>() < customer.rate(now - began) / 1_000.0 {
+            if rng.random::<f64>() < customer.rate(now.saturating_sub(began)) / 1_000.0 {
                 let request = customer.next_request(&mut rng);
                 asked.push((second, customer.name, request.generation.cost()));
                 pending.push(Pending {
@@ -99,7 +99,7 @@
         }
         let due: Vec<Pending> = pending.extract_if(.., |p| p.due <= now).collect();
         for entry in due {
-            let queued = entry.queued_since.map(|since| now - since);
+            let queued = entry.queued_since.map(|since| now.saturating_sub(since));
             let request = entry.request.clone();
             let Err(refusal) = simulation.offer_after(request, queued) else {
                 continue;
@@ -141,7 +141,7 @@
     }
     for outcome in simulation.admitted() {
         let usage = usages.get_mut(&outcome.customer).expect("a known customer");
-        let offered = outcome.offered_at - began;
+        let offered = outcome.offered_at.saturating_sub(began);
         let Some(first_event) = outcome.first_event else {
             continue;
         };
--- a/samphiresill-sched/src/fleet/tests/overload.rs
+++ b/samphiresill-sched/src/fleet/tests/overload.rs
@@ -19,10 +19,10 @@
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 /// Duration of a stream.
-const STREAM_DURATION: Duration = Duration::from_millis(2_000);
+const STREAM_DURATION: Duration = Duration::from_secs(2);
 /// When two health checks in a row have found the router out of rotation, and new connections reach
 /// other routers.
-const BALANCER_REACTION: Duration = Duration::from_millis(2_000);
+const BALANCER_REACTION: Duration = Duration::from_secs(2);
 
 /// `Router` is a router whose callers the load balancer sends to it alone.
 struct Router {
@@ -70,7 +70,11 @@
         self.streams.retain(|ends_at| *ends_at > self.now);
         let events = self.streams.len() as f64 * TICK.as_secs_f64() / EVENT_INTERVAL.as_secs_f64();
         self.backlog_ms = (self.backlog_ms + events * EVENT_MS - 1.0).max(0.0);
-        if self.now.as_millis().is_multiple_of(LAG_CHECK_INTERVAL.as_millis()) {
+        if self
+            .now
+            .as_millis()
+            .is_multiple_of(LAG_CHECK_INTERVAL.as_millis())
+        {
             let lag = Duration::from_secs_f64(self.backlog_ms / 1_000.0);
             self.limiter.observe(lag, self.streams.len());
         }
