Decode the software versions of targets and log them with streams

Cause: nothing shows at which version a stream began and went on, so that the hypotheses of the incident can't be told apart. Change: the directory holds the version of each target (peers of earlier builds ignore it); the end of a stream is logged with it, with the number of runs and what its caller says that it resumes; a counter of continuations by who resumed and whether the version is the same. No decision changes.

--- a/samphiresill-core/src/name.rs
+++ b/samphiresill-core/src/name.rs
@@ -39,6 +39,11 @@
     /// `ServiceName` identifies what targets serve: a model or a plain service.
     ServiceName
 }
+name_type! {
+    /// `SoftwareVersion` identifies the version of the software that a target runs. Versions have no
+    /// order.
+    SoftwareVersion
+}
 name_type! {
     /// `RequestId` identifies a caller's request across all of its attempts.
     RequestId
--- a/samphiresill-core/src/routing.rs
+++ b/samphiresill-core/src/routing.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::name::{CustomerName, DomainName, ServiceName, TargetName};
+use crate::name::{CustomerName, DomainName, ServiceName, SoftwareVersion, TargetName};
 use crate::units::RequestRate;
 
 /// `RequestKind` determines whether the requests of a route may be executed more than once.
@@ -249,6 +249,11 @@
     /// monotonic clock differ by router, so the time is sent separately from the entry.
     #[serde(skip)]
     pub cold: Option<ColdTime>,
+    /// Version of the target's software; `None` when its entry states none. A target without one
+    /// shares its version with no other. Routers of earlier versions do not know it, so it is sent
+    /// separately from the entry.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// `ColdTime` is how much longer a target stays cold, as of a reading of its entry.
--- a/samphiresill-gateway/src/dialect.rs
+++ b/samphiresill-gateway/src/dialect.rs
@@ -24,6 +24,8 @@
     pub generation: Option<Generation>,
     /// Id of the last event that the caller has received, when the caller itself resumes a stream.
     pub last_event: Option<Arc<str>>,
+    /// The request that brought the first event of that stream.
+    pub resumes: Option<RequestId>,
 }
 
 /// `ForwardMetadata` is sent to a target in addition to the caller's headers.
--- a/samphiresill-gateway/src/knowledge/directory.rs
+++ b/samphiresill-gateway/src/knowledge/directory.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use samphiresill_core::name::TargetName;
+use samphiresill_core::name::{SoftwareVersion, TargetName};
 use samphiresill_core::routing::{ColdTime, TargetEntry, TargetState};
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +33,19 @@
     pub remaining_ms: u32,
 }
 
+/// Encoded size of the software version of an entry without its text.
+const SOFTWARE_VERSION_BYTES: usize = 6;
+
+/// `EntryVersion` is the software version of the target of an entry in an update. It is sent apart from
+/// the entry, so that routers that do not know it can decode the entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryVersion {
+    /// Index of the change in the update.
+    pub index: u32,
+    /// Version of the target's software.
+    pub version: SoftwareVersion,
+}
+
 /// `Change` is a change of one row of the directory of targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -50,7 +63,10 @@
         let names = |e: &TargetEntry| e.name.len() + e.service.len() + e.domain.len();
         let is_cold = self.entry.as_ref().is_some_and(|e| e.cold.is_some());
         let cold = if is_cold { COLD_TIME_BYTES } else { 0 };
-        self.name.len() + self.entry.as_ref().map_or(0, names) + cold + CHANGE_OVERHEAD_BYTES
+        let version = self.entry.as_ref().and_then(|e| e.version.as_ref());
+        let version = version.map_or(0, |v| v.len() + SOFTWARE_VERSION_BYTES);
+        let names = self.name.len() + self.entry.as_ref().map_or(0, names);
+        names + cold + version + CHANGE_OVERHEAD_BYTES
     }
 }
 
@@ -229,6 +245,29 @@
         }
     }
 
+    /// Returns the software versions that the entries state.
+    #[must_use]
+    pub fn software_versions(&self) -> Vec<EntryVersion> {
+        let changes = self.changes.iter().enumerate();
+        let versions = changes.filter_map(|(index, change)| {
+            Some(EntryVersion {
+                index: u32::try_from(index).ok()?,
+                version: change.entry.as_ref()?.version.clone()?,
+            })
+        });
+        versions.collect()
+    }
+
+    /// Sets the software versions that were received with the update.
+    pub fn set_software_versions(&mut self, versions: &[EntryVersion]) {
+        for entry_version in versions {
+            let change = self.changes.get_mut(entry_version.index as usize);
+            if let Some(entry) = change.and_then(|c| c.entry.as_mut()) {
+                entry.version = Some(entry_version.version.clone());
+            }
+        }
+    }
+
     /// Splits the update into consecutive parts of at most `max_bytes` each. Changes of the same
     /// version stay in one part.
     #[must_use]
--- a/samphiresill-gateway/src/knowledge/target_log.rs
+++ b/samphiresill-gateway/src/knowledge/target_log.rs
@@ -14,7 +14,7 @@
     for target in targets {
         let before = known.insert(target.name.clone(), target.state);
         if before != Some(target.state) && !is_start {
-            log::info!(target:% = target.name, service:% = target.service, state:? = target.state; "target listed");
+            log::info!(target:% = target.name, service:% = target.service, state:? = target.state, version = target.version.as_deref(); "target listed");
         }
     }
     known.retain(|name, _| {
--- a/samphiresill-gateway/src/metrics.rs
+++ b/samphiresill-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use hyper::{Response, StatusCode};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
+use samphiresill_core::name::SoftwareVersion;
 use samphiresill_core::routing::RequestKind;
 use samphiresill_sched::fleet::balance::evenness::Summary;
 use samphiresill_telemetry::exposition::Exposition;
@@ -63,6 +64,43 @@
     Fallback,
 }
 
+/// `ContinuedBy` is who resumed a stream of events that had begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum ContinuedBy {
+    /// Its caller, with another request.
+    #[display("caller")]
+    Caller,
+    /// This router, within one response.
+    #[display("router")]
+    Router,
+}
+
+/// `VersionMatch` is how the software version of a run compares with that which began the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum VersionMatch {
+    /// They are the same.
+    #[display("same")]
+    Same,
+    /// They differ.
+    #[display("other")]
+    Other,
+    /// One of them is not known.
+    #[display("unknown")]
+    Unknown,
+}
+
+impl VersionMatch {
+    /// Compares the version that began a stream with that of another run.
+    #[must_use]
+    pub fn of(began: Option<&SoftwareVersion>, run: Option<&SoftwareVersion>) -> Self {
+        match (began, run) {
+            (Some(began), Some(run)) if began == run => Self::Same,
+            (Some(_), Some(_)) => Self::Other,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// `StreamEnd` is how a stream of events ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamEnd {
@@ -84,6 +122,7 @@
     attempts_failed: Counter<u64>,
     placements: Counter<u64>,
     stream_ends: Counter<u64>,
+    continuations: Counter<u64>,
     crashes: Counter<u64>,
     quarantined: Gauge<u64>,
     limited_responses: Counter<u64>,
@@ -119,6 +158,7 @@
             attempts_failed: meter.u64_counter("gateway_attempts_failed").build(),
             placements: meter.u64_counter("gateway_placements").build(),
             stream_ends: meter.u64_counter("gateway_stream_ends").build(),
+            continuations: meter.u64_counter("gateway_stream_continuations").build(),
             crashes: meter.u64_counter("gateway_target_crashes").build(),
             quarantined: meter.u64_gauge("gateway_quarantined_parts").build(),
             limited_responses: meter.u64_counter("gateway_limited_responses").build(),
@@ -181,6 +221,15 @@
         self.stream_ends.add(1, &labels);
     }
 
+    /// Counts a run that goes on with a stream.
+    pub fn record_continuation(&self, by: ContinuedBy, version: VersionMatch) {
+        let labels = [
+            KeyValue::new("by", by.to_string()),
+            KeyValue::new("version", version.to_string()),
+        ];
+        self.continuations.add(1, &labels);
+    }
+
     /// Counts a crash of a target during runs of this gateway.
     pub fn record_crash(&self) {
         self.crashes.add(1, &[]);
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::knowledge::Versions;
-use crate::knowledge::directory::{EntryColdTime, Update};
+use crate::knowledge::directory::{EntryColdTime, EntryVersion, Update};
 use crate::knowledge::evacuations;
 
 /// Maximum size of a datagram; larger ones would be fragmented on most links.
@@ -68,6 +68,9 @@
     /// Cold times of the entries in `update`. They follow the evacuations in the datagram.
     #[serde(skip)]
     pub cold: Vec<EntryColdTime>,
+    /// Software versions of the entries in `update`. They follow the new events in the datagram.
+    #[serde(skip)]
+    pub software_versions: Vec<EntryVersion>,
 }
 
 impl LoadFrame {
@@ -84,7 +87,8 @@
     /// Appends what gateways of earlier versions do not know, up to the last part that holds
     /// something. They ignore it.
     fn extend(&self, new_events: &[Event], mut bytes: Vec<u8>) -> Result<Vec<u8>, postcard::Error> {
-        let has_new_events = !new_events.is_empty();
+        let has_versions = !self.software_versions.is_empty();
+        let has_new_events = has_versions || !new_events.is_empty();
         let has_cold_times = has_new_events || !self.cold.is_empty();
         let has_evacuations = has_cold_times || !self.evacuations.is_empty();
         if has_evacuations || self.answers != StoreAnswers::default() {
@@ -99,6 +103,9 @@
         if has_new_events {
             bytes = postcard::to_extend(new_events, bytes)?;
         }
+        if has_versions {
+            bytes = postcard::to_extend(&self.software_versions, bytes)?;
+        }
         Ok(bytes)
     }
 
@@ -119,8 +126,11 @@
         if rest.is_empty() {
             return Ok(());
         }
-        let new_events: Vec<Event> = postcard::from_bytes(rest)?;
+        let (new_events, rest): (Vec<Event>, _) = postcard::take_from_bytes(rest)?;
         self.events.extend(new_events);
+        if !rest.is_empty() {
+            self.software_versions = postcard::from_bytes(rest)?;
+        }
         Ok(())
     }
 }
--- a/samphiresill-gateway/src/peers/load.rs
+++ b/samphiresill-gateway/src/peers/load.rs
@@ -60,6 +60,7 @@
         drop(fleet_load);
         if let Some(mut update) = frame.update {
             update.set_cold_times(&frame.cold, now);
+            update.set_software_versions(&frame.software_versions);
             self.gateway.routing_state.apply_update(update);
         }
         let own = self.gateway.routing_state.versions();
@@ -229,6 +230,7 @@
         let now = self.gateway.clock.monotonic();
         let frame = |update: Update| LoadFrame {
             cold: update.cold_times(now),
+            software_versions: update.software_versions(),
             update: Some(update),
             ..self.empty_frame()
         };
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -16,7 +16,7 @@
 use crate::connection::call;
 use crate::gateway::Gateway;
 use crate::knowledge::Versions;
-use crate::knowledge::directory::{EntryColdTime, Update};
+use crate::knowledge::directory::{EntryColdTime, EntryVersion, Update};
 use crate::responder::{self, FullResponse};
 
 /// Path of the encoded configuration.
@@ -104,13 +104,17 @@
     Ok(())
 }
 
-/// Decodes a directory update and the cold times that follow it. A peer of an earlier version sends
-/// none.
+/// Decodes a directory update, and the cold times and software versions that follow it. Peers of
+/// earlier versions do not send them.
 fn decode_update(bytes: &[u8], now: Duration) -> Result<Update, postcard::Error> {
     let (mut update, rest): (Update, _) = postcard::take_from_bytes(bytes)?;
     if !rest.is_empty() {
-        let cold_times: Vec<EntryColdTime> = postcard::from_bytes(rest)?;
+        let (cold_times, rest): (Vec<EntryColdTime>, _) = postcard::take_from_bytes(rest)?;
         update.set_cold_times(&cold_times, now);
+        if !rest.is_empty() {
+            let versions: Vec<EntryVersion> = postcard::from_bytes(rest)?;
+            update.set_software_versions(&versions);
+        }
     }
     Ok(update)
 }
@@ -206,7 +210,9 @@
         let update = gateway.routing_state.directory_since(after);
         let cold_times = update.cold_times(now);
         let has_cold_times = !cold_times.is_empty();
-        Ok::<_, postcard::Error>((compress(&(update, cold_times))?, has_cold_times))
+        let versions = update.software_versions();
+        let encoded = compress(&(update, cold_times, versions))?;
+        Ok::<_, postcard::Error>((encoded, has_cold_times))
     };
     if after > 0 {
         return encode().map(|(bytes, _)| bytes);
--- a/samphiresill-gateway/src/relay/attempt.rs
+++ b/samphiresill-gateway/src/relay/attempt.rs
@@ -8,6 +8,7 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode, http};
 use samphiresill_attempt::failure::FailurePoint;
+use samphiresill_core::name::SoftwareVersion;
 use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::load::Placement;
 
@@ -31,6 +32,8 @@
     /// When the listed instance of its target started, in Unix milliseconds; `None` when it was not
     /// listed.
     started_ms: Option<u64>,
+    /// Version of the software of its target, as listed when the run was placed.
+    pub version: Option<SoftwareVersion>,
     result: RunResult,
 }
 
@@ -38,12 +41,20 @@
     /// Creates the guard of a run that is already counted by `placement`.
     #[must_use]
     pub fn new(gateway: Arc<Gateway>, placement: Placement) -> Self {
-        let started_ms = gateway.fleet_load().started_ms(&placement.target);
+        let (started_ms, version) = {
+            let fleet_load = gateway.fleet_load();
+            let target = &placement.target;
+            (
+                fleet_load.started_ms(target),
+                fleet_load.software_version(target),
+            )
+        };
         Self {
             placed_at: gateway.clock.monotonic(),
             gateway,
             placement,
             started_ms,
+            version,
             result: RunResult::Unknown,
         }
     }
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -174,6 +174,7 @@
             .or_else(|| is_generation.then(Default::default))
             .filter(|_| is_engine),
         last_event: head.last_event,
+        resumes: head.resumes,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/samphiresill-gateway/src/relay/request_context.rs
+++ b/samphiresill-gateway/src/relay/request_context.rs
@@ -25,6 +25,8 @@
     pub generation: Option<Generation>,
     /// Id of the last event that the caller has received, when the caller itself resumes a stream.
     pub last_event: Option<Arc<str>>,
+    /// The request that brought the first event of that stream.
+    pub resumes: Option<RequestId>,
     /// Method as received.
     pub method: Method,
     /// Path and query as received.
@@ -70,6 +72,12 @@
         Some(ids.collect::<Vec<_>>().join(","))
     }
 
+    /// Whether the caller resumes a stream that another request began.
+    #[must_use]
+    pub fn is_continuation(&self) -> bool {
+        self.last_event.is_some() || self.resumes.is_some()
+    }
+
     /// Whether the response is a stream of events.
     #[must_use]
     pub fn is_stream(&self) -> bool {
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -19,6 +19,7 @@
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::{HeaderMap, Response};
 use samphiresill_attempt::failure::FailurePoint;
+use samphiresill_core::name::SoftwareVersion;
 use samphiresill_core::routing::RequestKind;
 use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::load::Placement;
@@ -33,7 +34,7 @@
 use super::response::ResponseBody;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::log_budget::Kind;
-use crate::metrics::{Outcome, StreamEnd};
+use crate::metrics::{ContinuedBy, Outcome, StreamEnd, VersionMatch};
 
 /// Time before the deadline from which on a caller that leaves counts as one that ran out of time:
 /// its own clock started before the request arrived here.
@@ -129,6 +130,10 @@
     timer: Pin<Box<Sleep>>,
     /// Placement of the latest run.
     placement: Placement,
+    /// Software version of the run that delivered the first event.
+    version: Option<SoftwareVersion>,
+    /// Number of runs so far.
+    runs: u32,
     /// Counts the stream towards the stream limit.
     in_flight: Option<InFlightGuard>,
     /// Memory of what is delivered.
@@ -158,6 +163,8 @@
         boundary: EventBoundary::default(),
         timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
         placement: run.placement.clone(),
+        version: None,
+        runs: 1,
         state: State::Relaying {
             attempts: Box::new(attempts),
             run: Box::new(run),
@@ -430,6 +437,12 @@
         if !is_event_stream(&response.head.headers) {
             return Err("not resumed: the response is no stream of events".to_owned());
         }
+        self.runs += 1;
+        if self.first_at.is_some() {
+            let version_match = VersionMatch::of(self.version.as_ref(), run.version.as_ref());
+            let metrics = &self.gateway.metrics;
+            metrics.record_continuation(ContinuedBy::Router, version_match);
+        }
         self.framing = Framing::of(&response.head);
         self.boundary = EventBoundary::default();
         self.splitter = EventSplitter::default();
@@ -527,10 +540,23 @@
             .record_request(request_kind, outcome, took);
     }
 
+    /// Records that the stream holds its first event.
+    fn record_begin(&mut self) {
+        let State::Relaying { run, .. } = &self.state else {
+            return;
+        };
+        self.version.clone_from(&run.version);
+        if self.ctx.is_continuation() {
+            let metrics = &self.gateway.metrics;
+            metrics.record_continuation(ContinuedBy::Caller, VersionMatch::Unknown);
+        }
+    }
+
     fn record_progress(&mut self) {
         let now = self.gateway.clock.monotonic();
         self.progress_at = now;
         if self.first_at.is_none() {
+            self.record_begin();
             self.first_at = Some(now);
             let took = now.saturating_sub(self.ctx.started);
             self.gateway.metrics.record_first_event(took);
@@ -573,7 +599,8 @@
         log::info!(
             request:% = self.ctx.request, route = &*self.ctx.route.name,
             target:%, end, events = self.events, framing:% = self.framing,
-            is_within_event, is_resumable = self.is_resumable,
+            is_within_event, is_resumable = self.is_resumable, attempts = self.runs,
+            version = self.version.as_deref(), resumes = self.ctx.resumes.as_deref(),
             expected_ms = self.placement.expected.as_millis() as u64,
             wait_ms = estimate.wait.as_millis() as u64, prefill = estimate.prefill_tokens,
             copied = estimate.copied_tokens, runs = estimate.runs, rate = estimate.rate,
--- a/samphiresill-gateway/src/tests/directory.rs
+++ b/samphiresill-gateway/src/tests/directory.rs
@@ -20,6 +20,7 @@
             state: TargetState::Ready,
             started_ms: version,
             cold: None,
+            version: None,
         }),
         name,
         version,
--- a/samphiresill-sched/src/fleet/load/directives.rs
+++ b/samphiresill-sched/src/fleet/load/directives.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use samphiresill_core::name::{ServiceName, TargetName};
+use samphiresill_core::name::{ServiceName, SoftwareVersion, TargetName};
 use samphiresill_core::units::RequestRate;
 
 use super::{FleetLoad, Placement};
@@ -62,6 +62,12 @@
         self.targets.get(target).map(|t| t.entry.started_ms)
     }
 
+    /// Returns the version of the software of a target, as listed.
+    #[must_use]
+    pub fn software_version(&self, target: &TargetName) -> Option<SoftwareVersion> {
+        self.targets.get(target)?.entry.version.clone()
+    }
+
     /// Records that an instance of a target has said that it leaves, and tells the other routers.
     /// Returns whether that is new.
     pub fn record_leaving(&mut self, target: &TargetName, started_ms: u64, now: Duration) -> bool {
--- a/samphiresill-sched/src/fleet/model/setup.rs
+++ b/samphiresill-sched/src/fleet/model/setup.rs
@@ -81,5 +81,6 @@
         state: TargetState::Ready,
         started_ms: 0,
         cold: None,
+        version: None,
     }
 }
--- a/samphiresill-sched/src/fleet/tests/simulation.rs
+++ b/samphiresill-sched/src/fleet/tests/simulation.rs
@@ -89,6 +89,7 @@
         state: TargetState::Ready,
         started_ms: 0,
         cold: None,
+        version: None,
     }
 }
 
