Let streams go on only at the software version that began them

Cause: versions were not known to any decision. A stream's place was taken to be any engine of its service, and its origin was known to nobody but the router that relayed it. Class: state that has to outlast its holder is held by one process only. Change: - the first event of a resumable stream is announced to all schedulers, with the version, under a hash of the request's id (Resumes names that request); - two schedulers save what they hear in the store five times a second; a scheduler loads the records of a peer and of the store after its start; - a stream that has begun is placed only on targets of its version; where the version is not known or has no target, it is refused at once (503, not run), after a lookup of at most 0.1 s (1 s while records are loaded); - such a request isn't refused for load, and may exceed the stream limit by a quarter: a part of it is paid for; - KV cache is copied only between engines of one version. Nothing is guessed: absence of a record is no evidence.

--- a/samphiresill-gateway/src/gateway.rs
+++ b/samphiresill-gateway/src/gateway.rs
@@ -42,6 +42,8 @@
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the lag of timers is measured.
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of the streams in flight, as its inverse, that do not count for a stream that goes on.
+const CONTINUATION_RESERVE: usize = 4;
 /// Fraction of the fleet's retry budget that is used, because routers do not count each other's
 /// retries.
 const RETRY_SAFETY_FACTOR: f64 = 0.8;
@@ -175,12 +177,17 @@
     }
 
     /// Counts a stream as in flight until the value is dropped. Returns `None` when the stream
-    /// limit is reached.
+    /// limit is reached; one that has begun elsewhere may exceed it by a part.
     #[must_use]
-    pub fn begin_stream(&self) -> Option<InFlightGuard> {
+    pub fn begin_stream(&self, is_continuation: bool) -> Option<InFlightGuard> {
         let streams = self.streams.load(Ordering::Acquire);
+        let counted = if is_continuation {
+            streams - streams / CONTINUATION_RESERVE
+        } else {
+            streams
+        };
         let now = self.clock.monotonic();
-        if !self.stream_limiter().admits(streams, now) {
+        if !self.stream_limiter().admits(counted, now) {
             return None;
         }
         self.streams.fetch_add(1, Ordering::AcqRel);
--- a/samphiresill-gateway/src/peers/frame.rs
+++ b/samphiresill-gateway/src/peers/frame.rs
@@ -9,6 +9,7 @@
 use samphiresill_sched::fleet::load::Placement;
 use samphiresill_sched::fleet::quarantine::Notice;
 use samphiresill_sched::fleet::request::{Generation, PlacementRequest, RunId};
+use samphiresill_sched::fleet::streams::StreamOrigin;
 use serde::{Deserialize, Serialize};
 
 use crate::knowledge::Versions;
@@ -171,6 +172,9 @@
     pub is_first_attempt: bool,
     /// Targets that may get no requests of the requesting gateway.
     pub avoided: Vec<TargetName>,
+    /// Where the stream of the request began. It follows the frame in its datagram.
+    #[serde(skip)]
+    pub origin: StreamOrigin,
 }
 
 impl PlacementRequestFrame {
@@ -190,6 +194,7 @@
             has_run: req.has_run,
             is_first_attempt: req.is_first_attempt,
             avoided: req.avoided.iter().take(MAX_AVOIDED).cloned().collect(),
+            origin: req.origin.clone(),
         }
     }
 
@@ -208,6 +213,7 @@
             has_run: self.has_run,
             is_first_attempt: self.is_first_attempt,
             avoided: &self.avoided,
+            origin: &self.origin,
         }
     }
 }
@@ -227,8 +233,12 @@
     /// # Errors
     /// When the encoder fails, which it does not for the types in a frame.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        let Self::Load(load) = self else {
-            return postcard::to_stdvec(self);
+        let load = match self {
+            Self::Load(load) => load,
+            Self::PlacementRequest(req) if req.origin != StreamOrigin::New => {
+                return postcard::to_extend(&req.origin, postcard::to_stdvec(self)?);
+            }
+            _ => return postcard::to_stdvec(self),
         };
         if !load.events.iter().any(Event::is_new) {
             return load.extend(&[], postcard::to_stdvec(self)?);
@@ -243,10 +253,13 @@
     /// When the bytes are not a valid frame.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut frame, rest) = postcard::take_from_bytes(bytes)?;
-        if let Self::Load(load) = &mut frame
-            && !rest.is_empty()
-        {
-            load.decode_extensions(rest)?;
+        if rest.is_empty() {
+            return Ok(frame);
+        }
+        match &mut frame {
+            Self::Load(load) => load.decode_extensions(rest)?,
+            Self::PlacementRequest(req) => req.origin = postcard::from_bytes(rest)?,
+            _ => {}
         }
         Ok(frame)
     }
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -95,6 +95,12 @@
         Ok(())
     }
 
+    /// Whether this gateway is a scheduler.
+    #[must_use]
+    pub fn is_scheduler(&self) -> bool {
+        self.schedulers().is_local
+    }
+
     /// Announces to the other gateways that this one shuts down.
     pub fn announce_leaving(&self) {
         self.leaving.send_replace(true);
--- a/samphiresill-gateway/src/peers/placement.rs
+++ b/samphiresill-gateway/src/peers/placement.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use samphiresill_sched::fleet::admission::{Reason, Refusal};
+use samphiresill_sched::fleet::admission::{self, Reason, Refusal};
 use samphiresill_sched::fleet::load::Placement;
 use samphiresill_sched::fleet::request::PlacementRequest;
+use samphiresill_sched::fleet::streams::StreamOrigin;
 use tokio::sync::oneshot;
 
 use super::Peers;
@@ -18,6 +19,8 @@
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(40);
 /// Maximum number of schedulers that are tried before the gateway decides by itself.
 const MAX_SCHEDULERS_TRIED: usize = 2;
+/// `Retry-After` before jitter when a scheduler and this gateway differ on the version of a target.
+const MISMATCH_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time during which a scheduler that did not reply is skipped.
 const SKIP_DURATION: Duration = Duration::from_millis(700);
 
@@ -54,6 +57,17 @@
             gateway.metrics.record_placement(PlacedBy::Scheduler);
             let now = gateway.clock.monotonic();
             if let Ok(placement) = &reply.decision {
+                if let StreamOrigin::At(version) = req.origin
+                    && gateway
+                        .fleet_load()
+                        .software_version(&placement.target)
+                        .as_ref()
+                        != Some(version)
+                {
+                    let delay =
+                        admission::retry_after(MISMATCH_RETRY_AFTER, req.time_left, rand::random());
+                    return Err(Refusal::new(Reason::UnknownVersion, delay));
+                }
                 gateway.fleet_load().adopt(placement, req, now);
             }
             return reply.decision;
--- a/samphiresill-gateway/src/peers/snapshot.rs
+++ b/samphiresill-gateway/src/peers/snapshot.rs
@@ -10,6 +10,8 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode};
 use lz4_flex::block;
+use samphiresill_core::name::SoftwareVersion;
+use samphiresill_sched::fleet::streams::StreamId;
 use serde::Serialize;
 
 use super::warm_up::Caches;
@@ -29,6 +31,8 @@
 const MAX_FETCHED_BYTES: usize = 8 * 1024 * 1024;
 /// Path of the contents of the engines' caches.
 const CACHES_PATH: &str = "/caches";
+/// Path of the versions at which streams began.
+const STREAMS_PATH: &str = "/streams";
 /// Time for which an encoded directory with cold times is used: long enough for gateways that start
 /// together, and by which their targets may seem cold for too long.
 const COLD_TIMES_VALIDITY: Duration = Duration::from_millis(200);
@@ -144,6 +148,18 @@
     Ok(Some(postcard::from_bytes(&decompress(response.body())?)?))
 }
 
+/// Fetches the versions at which streams began, as far as another scheduler knows them.
+///
+/// # Errors
+/// When the peer does not respond, or its response cannot be decoded.
+pub(super) async fn fetch_streams(
+    gateway: &Gateway,
+    peer: SocketAddr,
+) -> anyhow::Result<Vec<(StreamId, SoftwareVersion)>> {
+    let bytes = get(gateway, peer, STREAMS_PATH).await?;
+    Ok(postcard::from_bytes(&decompress(&bytes)?)?)
+}
+
 /// Encodes and compresses a snapshot. It compresses well because it has many similar entries.
 fn compress(value: &impl Serialize) -> Result<Bytes, postcard::Error> {
     let bytes = postcard::to_stdvec(value)?;
@@ -186,6 +202,10 @@
             encoded_response("caches", compress(&gateway.fleet_load().cached_parts()))
         }
         CACHES_PATH => responder::empty(StatusCode::NO_CONTENT),
+        STREAMS_PATH => {
+            let streams = gateway.fleet_load().streams().all();
+            encoded_response("streams", compress(&streams))
+        }
         _ => responder::empty(StatusCode::NOT_FOUND),
     }
 }
--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -41,11 +41,15 @@
 /// Loads the contents once after this gateway has become a scheduler.
 pub(super) async fn run(gateway: Arc<Gateway>, peers: Arc<Peers>) {
     let began = gateway.clock.monotonic();
+    let mut has_streams = false;
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         if !peers.schedulers().is_local {
             return;
         }
+        if !has_streams {
+            has_streams = load_streams(&gateway, &peers).await;
+        }
         let is_known = !gateway.fleet_load().engines().is_empty();
         if is_known && load_from_peer(&gateway, &peers).await {
             break;
@@ -60,6 +64,25 @@
     peers.is_warm.store(true, Ordering::Release);
 }
 
+/// Loads the versions at which streams began from the first other scheduler that knows any.
+async fn load_streams(gateway: &Gateway, peers: &Peers) -> bool {
+    for peer in peers.other_schedulers() {
+        match snapshot::fetch_streams(gateway, peer).await {
+            Ok(streams) if streams.is_empty() => {}
+            Ok(streams) => {
+                log::info!(peer:% = peer, streams = streams.len(); "beginnings of streams loaded from a peer");
+                let now = gateway.clock.monotonic();
+                gateway.fleet_load().streams_mut().load(streams, now);
+                return true;
+            }
+            Err(e) => {
+                log::debug!(peer:% = peer, error:% = format!("{e:#}"); "failed to load streams from a peer");
+            }
+        }
+    }
+    false
+}
+
 /// Loads the contents from the first other scheduler that has them.
 async fn load_from_peer(gateway: &Gateway, peers: &Peers) -> bool {
     for peer in peers.other_schedulers() {
--- a/samphiresill-gateway/src/relay/forward.rs
+++ b/samphiresill-gateway/src/relay/forward.rs
@@ -8,11 +8,12 @@
 use hyper::header::{CONNECTION, HeaderName, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode, http};
 use samphiresill_attempt::failure::{self, FailureContext, FailurePoint, Verdict};
-use samphiresill_core::name::TargetName;
+use samphiresill_core::name::{SoftwareVersion, TargetName};
 use samphiresill_core::outcome;
 use samphiresill_sched::fleet::admission::Refusal;
 use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::request::PlacementRequest;
+use samphiresill_sched::fleet::streams::StreamOrigin;
 use tokio::time::Instant;
 
 use super::attempt::{self, Failure, RunGuard, Symptom, TargetResponse};
@@ -85,15 +86,19 @@
     tried: Vec<TargetName>,
     runs: u32,
     is_placement_requested: bool,
+    /// Where the stream began.
+    origin: StreamOrigin,
 }
 
 impl Attempts {
     /// Creates the state of a request that was not attempted yet.
     #[must_use]
     pub fn new(gateway: Arc<Gateway>, ctx: Arc<RequestContext>) -> Self {
+        let origin = gateway.fleet_load().resolve(&ctx.origin());
         Self {
             gateway,
             ctx,
+            origin,
             tried: Vec::new(),
             runs: 0,
             is_placement_requested: false,
@@ -106,6 +111,11 @@
         (Arc::clone(&self.gateway), Arc::clone(&self.ctx))
     }
 
+    /// Records that the stream holds an event of a run at `version`: it may go on only there.
+    pub fn record_begin(&mut self, version: Option<&SoftwareVersion>) {
+        self.origin = version.map_or(StreamOrigin::Unknown, |v| StreamOrigin::At(v.clone()));
+    }
+
     /// Places and sends the request until a target responds.
     ///
     /// # Errors
@@ -231,6 +241,7 @@
                 is_first_attempt: !std::mem::replace(&mut self.is_placement_requested, true),
                 waited: now.saturating_sub(began),
                 has_run: self.runs > 0,
+                origin: &self.origin,
             };
             match self.gateway.peers.place(&self.gateway, &req).await {
                 Ok(placement) => {
--- a/samphiresill-gateway/src/relay/mod.rs
+++ b/samphiresill-gateway/src/relay/mod.rs
@@ -109,7 +109,7 @@
         record_rejection(gateway, Some(&ctx.request), &refusal);
         return refusal.response;
     };
-    if let Some(stream) = gateway.begin_stream() {
+    if let Some(stream) = gateway.begin_stream(ctx.is_continuation()) {
         return forward::forward(gateway, ctx, Some((stream, delivery))).await;
     }
     record_refusal(gateway, &ctx, RefusedBy::StreamLimit);
--- a/samphiresill-gateway/src/relay/request_context.rs
+++ b/samphiresill-gateway/src/relay/request_context.rs
@@ -9,6 +9,7 @@
 use samphiresill_core::name::{CustomerName, RequestId, ServiceName};
 use samphiresill_core::routing::{RequestKind, Route};
 use samphiresill_sched::fleet::request::Generation;
+use samphiresill_sched::fleet::streams::{StreamId, StreamOrigin};
 
 /// `RequestContext` is a request of a caller and what is needed to forward it.
 #[derive(Debug)]
@@ -72,10 +73,26 @@
         Some(ids.collect::<Vec<_>>().join(","))
     }
 
+    /// Whether the response is a stream that another run may continue.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        self.route.request_kind == RequestKind::Generation { is_resumable: true }
+    }
+
     /// Whether the caller resumes a stream that another request began.
     #[must_use]
     pub fn is_continuation(&self) -> bool {
-        self.last_event.is_some() || self.resumes.is_some()
+        self.is_resumable() && (self.last_event.is_some() || self.resumes.is_some())
+    }
+
+    /// Where the stream began, as far as the caller says.
+    #[must_use]
+    pub fn origin(&self) -> StreamOrigin {
+        match &self.resumes {
+            _ if !self.is_continuation() => StreamOrigin::New,
+            Some(request) => StreamOrigin::Of(StreamId::of(request)),
+            None => StreamOrigin::Unknown,
+        }
     }
 
     /// Whether the response is a stream of events.
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -20,9 +20,9 @@
 use hyper::{HeaderMap, Response};
 use samphiresill_attempt::failure::FailurePoint;
 use samphiresill_core::name::SoftwareVersion;
-use samphiresill_core::routing::RequestKind;
 use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::load::Placement;
+use samphiresill_sched::fleet::streams::StreamId;
 use tokio::time::Sleep;
 
 use super::attempt::{Failure, RunGuard, TargetResponse};
@@ -157,8 +157,7 @@
     let has_events = is_event_stream(&response_head.headers);
     let stream = EventStream {
         has_events,
-        is_resumable: has_events
-            && ctx.route.request_kind == RequestKind::Generation { is_resumable: true },
+        is_resumable: has_events && ctx.is_resumable(),
         framing: Framing::of(&response_head),
         boundary: EventBoundary::default(),
         timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
@@ -540,15 +539,21 @@
             .record_request(request_kind, outcome, took);
     }
 
-    /// Records that the stream holds its first event.
+    /// Records that the stream holds its first event, so that others know where it may go on.
     fn record_begin(&mut self) {
-        let State::Relaying { run, .. } = &self.state else {
+        let State::Relaying { run, attempts, .. } = &mut self.state else {
             return;
         };
         self.version.clone_from(&run.version);
+        attempts.record_begin(run.version.as_ref());
         if self.ctx.is_continuation() {
             let metrics = &self.gateway.metrics;
-            metrics.record_continuation(ContinuedBy::Caller, VersionMatch::Unknown);
+            metrics.record_continuation(ContinuedBy::Caller, VersionMatch::Same);
+        } else if let Some(version) = run.version.as_ref().filter(|_| self.is_resumable) {
+            let now = self.gateway.clock.monotonic();
+            let stream = StreamId::of(&self.ctx.request);
+            let mut fleet_load = self.gateway.fleet_load();
+            fleet_load.record_stream(stream, &run.placement.target, version, now);
         }
     }
 
--- a/samphiresill-gateway/src/tests/frames.rs
+++ b/samphiresill-gateway/src/tests/frames.rs
@@ -7,6 +7,7 @@
 use samphiresill_sched::fleet::event::{Event, RunResult};
 use samphiresill_sched::fleet::quarantine::{MAX_ENTRIES, Notice};
 use samphiresill_sched::fleet::request::{PlacementRequest, RunId};
+use samphiresill_sched::fleet::streams::StreamOrigin;
 
 use crate::knowledge::directory::EntryColdTime;
 use crate::knowledge::evacuations;
@@ -188,6 +189,7 @@
         is_first_attempt: true,
         waited: Duration::ZERO,
         has_run: false,
+        origin: &StreamOrigin::New,
     };
     let run = RunId {
         origin: 1,
--- a/samphiresill-router/src/hosted.rs
+++ b/samphiresill-router/src/hosted.rs
@@ -9,6 +9,7 @@
 use samphiresill_adapter::dialect::PlatformDialect;
 use samphiresill_adapter::quarantine::QuarantineTable;
 use samphiresill_adapter::store::Store;
+use samphiresill_adapter::stream_table::StreamTable;
 use samphiresill_adapter::watch::Watch;
 use samphiresill_core::clock::{Clock, SystemClock};
 use samphiresill_gateway::gateway::Gateway;
@@ -96,10 +97,13 @@
     let instance_id = rand::random();
     let peers = Arc::new(Peers::bind(settings.listen.peers).await?);
     let gateway = Gateway::new(settings, clock, dialect, routing_state, peers, instance_id)?;
-    let quarantine = Arc::new(QuarantineTable::new(store, Arc::clone(&gateway)));
+    let quarantine = QuarantineTable::new(Arc::clone(&store), Arc::clone(&gateway));
+    let quarantine = Arc::new(quarantine);
+    let streams = Arc::new(StreamTable::new(store, Arc::clone(&gateway)));
     let supervisor = &gateway.supervisor;
     supervisor.run("store", move || Arc::clone(&watch).run());
     supervisor.run("quarantine", move || Arc::clone(&quarantine).run());
+    supervisor.run("streams", move || Arc::clone(&streams).run());
     let reloaded = Arc::clone(&gateway);
     supervisor.run("settings", move || {
         watch_settings(Arc::clone(&reloaded), path.clone(), logging.clone())
--- a/samphiresill-sched/src/fleet/admission.rs
+++ b/samphiresill-sched/src/fleet/admission.rs
@@ -57,6 +57,12 @@
     /// All usable targets of the service have got as many requests as they take.
     #[display("target limit")]
     TargetLimit,
+    /// The software version at which the stream began is not known.
+    #[display("the version that began the stream is not known, begin it again")]
+    UnknownVersion,
+    /// No target of the software version at which the stream began is usable.
+    #[display("no target of the version that began the stream, begin it again")]
+    NoVersion,
 }
 
 /// `Basis` holds the inputs of a refusal, for the log.
--- a/samphiresill-sched/src/fleet/event.rs
+++ b/samphiresill-sched/src/fleet/event.rs
@@ -1,11 +1,12 @@
 //! Changes of the fleet's load that routers send to each other.
 
-use samphiresill_core::name::{CustomerName, TargetName};
+use samphiresill_core::name::{CustomerName, SoftwareVersion, TargetName};
 use samphiresill_core::units::RequestRate;
 use serde::{Deserialize, Serialize};
 
 use super::quarantine::evidence::Suspect;
 use super::request::{Generation, PromptPart, RunId};
+use super::streams::StreamId;
 
 /// `RunResult` is the outcome of a run, as evidence of its target's health.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,6 +141,15 @@
         /// Time until the target is warm, in milliseconds; `None` while it has not answered.
         warm_in_ms: Option<u32>,
     },
+    /// A stream that may be resumed has delivered its first event.
+    StreamBegan {
+        /// The stream.
+        stream: StreamId,
+        /// The target.
+        target: TargetName,
+        /// Version of the target's software.
+        version: SoftwareVersion,
+    },
 }
 
 impl Event {
@@ -154,6 +164,7 @@
             } | Self::LongPause { .. }
                 | Self::ConnectionBroken { .. }
                 | Self::Cold { .. }
+                | Self::StreamBegan { .. }
         )
     }
 }
--- a/samphiresill-sched/src/fleet/load/eligibility.rs
+++ b/samphiresill-sched/src/fleet/load/eligibility.rs
@@ -5,6 +5,7 @@
 use samphiresill_core::routing::TargetState;
 
 use super::FleetLoad;
+use super::continuation;
 use super::target::Target;
 use crate::fleet::request::PlacementRequest;
 
@@ -26,6 +27,7 @@
                 && !req.avoided.contains(&target.entry.name)
                 && !self.directives.leaving().contains(&target.entry)
                 && !self.evacuated.contains(&target.entry.domain)
+                && continuation::allows(req.origin, &target.entry)
         };
         let eligible = || self.targets.values().filter(is_eligible);
         let failing = eligible().filter(|t| t.health.is_failing(now)).count();
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -7,6 +7,7 @@
 
 mod balanced;
 mod cold_start;
+mod continuation;
 mod crashes;
 mod directives;
 mod eligibility;
@@ -40,6 +41,7 @@
 use super::request::{PlacementRequest, PromptPart, RunId};
 use super::shares::Shares;
 use super::shortest_objective::ShortestObjective;
+use super::streams::StreamRecords;
 use super::token_interval::TokenIntervalTarget;
 
 /// Time for which the retry of a refused request is recognised as such.
@@ -104,6 +106,7 @@
     is_balance_disabled: bool,
     /// Failure domains whose targets get no requests.
     evacuated: BTreeSet<DomainName>,
+    streams: StreamRecords,
     /// Events to send to the other routers.
     outbox: Vec<Event>,
 }
@@ -135,6 +138,7 @@
             balance: Balance::new(origin),
             is_balance_disabled: false,
             evacuated: BTreeSet::new(),
+            streams: StreamRecords::default(),
             outbox: Vec::new(),
         }
     }
@@ -157,6 +161,10 @@
         self.cold_starts.set_targets(entries, table);
         let mut old = std::mem::take(&mut self.targets);
         for entry in entries {
+            let before = old.get(&entry.name);
+            if before.is_some_and(|t| t.entry.version != entry.version) {
+                self.streams.distrust(&entry.name, self.swept_at);
+            }
             let engine = table.services.get(&entry.service).and_then(|s| s.engine);
             let known = old
                 .remove(&entry.name)
@@ -384,6 +392,7 @@
     /// and raises the queueing limit.
     pub fn sweep(&mut self, now: Duration) {
         self.queue_limit.recover();
+        self.streams.sweep(now);
         self.repeat_cold_signs(now);
         let targets = &self.targets;
         self.directives
@@ -470,32 +479,7 @@
                 run,
                 target,
                 result,
-            } => {
-                self.record_cold_result(target, *run, *result, now);
-                if let Some(target) = self.targets.get_mut(target) {
-                    if let TargetLoad::Engine(load) = &target.load {
-                        self.token_interval.record_result(*result);
-                        if matches!(result, RunResult::Answered { .. }) {
-                            let late = self.late_streams.entry(target.entry.service.clone());
-                            late.or_default().observe(false);
-                        }
-                        if let (RunResult::Answered { .. }, Some((parts, fingerprint))) =
-                            (result, load.answered_parts(*run))
-                        {
-                            let began_at = load.since(*run).unwrap_or(now);
-                            self.crash_evidence.record_answer(parts, now);
-                            if let Some(fingerprint) = fingerprint {
-                                self.crash_evidence.record_whole_answer(fingerprint, now);
-                            }
-                            for part in parts.iter().chain(&fingerprint) {
-                                self.quarantine.acquit(*part, began_at, now);
-                            }
-                        }
-                    }
-                    target.record_result(*run, *result, now);
-                    target.load.end(*run);
-                }
-            }
+            } => self.apply_end(*run, target, *result, now),
             Event::Refused { fingerprint, .. } => self.record_refused(*fingerprint, now),
             Event::Cached { target, parts } => self.add_cached(target, parts),
             Event::EventInterval { run, target, us } => {
@@ -536,6 +520,38 @@
             Event::ConnectionBroken { .. } | Event::Cold { .. } => {
                 self.apply_cold_event(event, now);
             }
+            Event::StreamBegan {
+                stream,
+                target,
+                version,
+            } => self.streams.record(*stream, target, version, now),
+        }
+    }
+
+    fn apply_end(&mut self, run: RunId, target: &TargetName, result: RunResult, now: Duration) {
+        self.record_cold_result(target, run, result, now);
+        if let Some(target) = self.targets.get_mut(target) {
+            if let TargetLoad::Engine(load) = &target.load {
+                self.token_interval.record_result(result);
+                if matches!(result, RunResult::Answered { .. }) {
+                    let late = self.late_streams.entry(target.entry.service.clone());
+                    late.or_default().observe(false);
+                }
+                if let (RunResult::Answered { .. }, Some((parts, fingerprint))) =
+                    (result, load.answered_parts(run))
+                {
+                    let began_at = load.since(run).unwrap_or(now);
+                    self.crash_evidence.record_answer(parts, now);
+                    if let Some(fingerprint) = fingerprint {
+                        self.crash_evidence.record_whole_answer(fingerprint, now);
+                    }
+                    for part in parts.iter().chain(&fingerprint) {
+                        self.quarantine.acquit(*part, began_at, now);
+                    }
+                }
+            }
+            target.record_result(run, result, now);
+            target.load.end(run);
         }
     }
 
--- a/samphiresill-sched/src/fleet/load/place.rs
+++ b/samphiresill-sched/src/fleet/load/place.rs
@@ -13,6 +13,7 @@
 use crate::fleet::engine::Estimate;
 use crate::fleet::event::Event;
 use crate::fleet::request::{Generation, PlacementRequest, RunId};
+use crate::fleet::streams::StreamOrigin;
 
 /// Cost of a target in another failure domain, in milliseconds: the round trip and the transferred
 /// bytes.
@@ -49,6 +50,17 @@
                 ..Refusal::new(Reason::TargetLimit, remaining)
             });
         }
+        let origin = self.resolve(req.origin);
+        if matches!(origin, StreamOrigin::Of(_) | StreamOrigin::Unknown) {
+            return Err(self.refusal_of_unknown_version(req, jitter));
+        }
+        let is_continuation = origin != StreamOrigin::New;
+        let req = &PlacementRequest {
+            // A part of it has been paid for, and its caller has read that part.
+            has_run: req.has_run || is_continuation,
+            origin: &origin,
+            ..req.clone()
+        };
         self.count_cold_diversion(req, now);
         let chosen = match req.generation {
             Some(generation) => self.choose_engine(req, generation, jitter, now),
--- a/samphiresill-sched/src/fleet/load/place_engine.rs
+++ b/samphiresill-sched/src/fleet/load/place_engine.rs
@@ -1,8 +1,11 @@
 //! Selection of a model engine for a request.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use samphiresill_core::name::SoftwareVersion;
+
 use super::FleetLoad;
 use super::place::{self, Choice};
 use super::target::{Target, TargetLoad};
@@ -72,8 +75,7 @@
             .late_streams
             .get(req.service)
             .map_or(0.0, LateStreams::weight);
-        let copy_source = self.copy_source(req, generation, now);
-        let cached_elsewhere = copy_source.map_or(0, |(_, tokens)| tokens);
+        let copy_sources = self.copy_sources(req, generation, now);
         for target in self.candidates(req, now) {
             let TargetLoad::Engine(load) = &target.load else {
                 continue;
@@ -88,6 +90,8 @@
                 unavailable.limited(wait);
                 continue;
             }
+            let cached_elsewhere = copy_sources.get(&target.entry.version.as_ref());
+            let cached_elsewhere = cached_elsewhere.map_or(0, |(_, tokens)| *tokens);
             let estimate = load.estimate(generation, cached_elsewhere, now);
             let cost = engine_cost(&estimate, self.token_interval.ms())
                 + place::domain_cost_ms(req.domain, &target.entry);
@@ -104,13 +108,14 @@
             offered.push((target, estimate));
         }
         let choice = |target: &Target, estimate: Estimate| {
-            let source = copy_source.filter(|_| estimate.copied_tokens > 0);
+            let source = copy_sources.get(&target.entry.version.as_ref());
+            let source = source.filter(|_| estimate.copied_tokens > 0);
             Choice {
                 name: target.entry.name.clone(),
                 address: target.entry.address,
                 expected: estimate.first_event(),
                 estimate: Some(estimate),
-                copy_from: source.map(|(address, _)| address),
+                copy_from: source.map(|(address, _)| *address),
                 total_prefill_rate,
             }
         };
@@ -124,24 +129,31 @@
         })
     }
 
-    /// Returns the engine with the longest copyable prefix of a prompt, and its length in tokens.
-    fn copy_source(
+    /// Returns, for each software version, the engine with the longest copyable prefix of a prompt and
+    /// its length in tokens. Versions do not share the form of what is copied.
+    fn copy_sources(
         &self,
         req: &PlacementRequest<'_>,
         generation: &Generation,
         now: Duration,
-    ) -> Option<(SocketAddr, u32)> {
-        let engines = self.targets.values().filter_map(|t| match &t.load {
-            TargetLoad::Engine(load)
-                if t.entry.service == *req.service && t.health.is_usable(now) =>
-            {
-                Some((t.entry.address, load.copyable_tokens(generation, now)))
+    ) -> BTreeMap<Option<&SoftwareVersion>, (SocketAddr, u32)> {
+        let mut sources: BTreeMap<Option<&SoftwareVersion>, (SocketAddr, u32)> = BTreeMap::new();
+        for target in self.targets.values() {
+            let TargetLoad::Engine(load) = &target.load else {
+                continue;
+            };
+            if target.entry.service != *req.service || !target.health.is_usable(now) {
+                continue;
+            }
+            let tokens = load.copyable_tokens(generation, now);
+            let source = sources.entry(target.entry.version.as_ref());
+            let source = source.or_insert((target.entry.address, 0));
+            if tokens >= source.1 {
+                *source = (target.entry.address, tokens);
             }
-            _ => None,
-        });
-        engines
-            .filter(|(_, tokens)| *tokens > 0)
-            .max_by_key(|(_, tokens)| *tokens)
+        }
+        sources.retain(|_, (_, tokens)| *tokens > 0);
+        sources
     }
 }
 
--- a/samphiresill-sched/src/fleet/load/unavailable.rs
+++ b/samphiresill-sched/src/fleet/load/unavailable.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::admission::{self, Reason, Refusal};
 use crate::fleet::request::PlacementRequest;
+use crate::fleet::streams::StreamOrigin;
 
 /// `Retry-After` before jitter when no target is available.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -47,6 +48,10 @@
     pub(super) fn refusal(&self, req: &PlacementRequest<'_>, jitter: f64) -> Refusal {
         let delay = self.available_in.max(NO_TARGET_RETRY_AFTER);
         let retry_after = admission::retry_after(delay, req.time_left, jitter);
-        Refusal::new(self.reason, retry_after)
+        let reason = match (self.reason, req.origin) {
+            (Reason::NoTarget, StreamOrigin::At(_)) => Reason::NoVersion,
+            (reason, _) => reason,
+        };
+        Refusal::new(reason, retry_after)
     }
 }
--- a/samphiresill-sched/src/fleet/mod.rs
+++ b/samphiresill-sched/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 //! - requests with one part of a prompt crash each engine that answers them: [`quarantine`];
 //! - targets restart and take few requests at first: [`cold_start`];
 //! - a target tells that it accepts less load than usual: [`directive`];
+//! - targets of several software versions serve side by side, and streams break: [`streams`];
 //! - many gateways decide at once, based on old views: [`balance`].
 
 pub mod admission;
@@ -41,6 +42,7 @@
 pub mod request;
 pub mod shares;
 pub mod shortest_objective;
+pub mod streams;
 pub mod token_interval;
 
 #[cfg(test)]
--- a/samphiresill-sched/src/fleet/model/mod.rs
+++ b/samphiresill-sched/src/fleet/model/mod.rs
@@ -27,6 +27,7 @@
 use super::event::{Event, RunResult};
 use super::load::{FleetLoad, Placement};
 use super::request::{Generation, PlacementRequest, PromptPart, RunId};
+use super::streams::StreamOrigin;
 
 /// Prefill rate of an engine of speed 1, in tokens per millisecond.
 const TOKENS_PER_MS: f64 = 101.0;
@@ -374,6 +375,7 @@
             waited: Duration::ZERO,
             // The model measures the choice; admission would hide its effect.
             has_run: true,
+            origin: &StreamOrigin::New,
         };
         self.deciders[decider]
             .place(&req, run, jitter, self.now)
--- a/samphiresill-sched/src/fleet/request.rs
+++ b/samphiresill-sched/src/fleet/request.rs
@@ -7,6 +7,8 @@
 use samphiresill_core::routing::EngineSpec;
 use serde::{Deserialize, Serialize};
 
+use super::streams::StreamOrigin;
+
 /// Weight of a generated token relative to a prompt token, as in the operators' capacity figure.
 const OUTPUT_TOKEN_WEIGHT: u64 = 2;
 
@@ -124,4 +126,6 @@
     pub waited: Duration,
     /// Whether the request has run at least in part; such a request is not refused for load.
     pub has_run: bool,
+    /// Where the stream of the request began.
+    pub origin: &'a StreamOrigin,
 }
--- a/samphiresill-sched/src/fleet/tests/eligibility.rs
+++ b/samphiresill-sched/src/fleet/tests/eligibility.rs
@@ -11,6 +11,7 @@
 use crate::fleet::admission::Reason;
 use crate::fleet::load::FleetLoad;
 use crate::fleet::request::PlacementRequest;
+use crate::fleet::streams::StreamOrigin;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Engines of the tests: `e0` to `e5`, in the failure domains `d0`, `d1`, `d2`, `d0`, `d1` and `d2`.
@@ -45,6 +46,7 @@
             avoided: &avoided,
             tried: &tried,
             has_run: true,
+            origin: &StreamOrigin::New,
             ..request.placement_request(&service, &domain)
         };
         let run = fleet_load.next_run();
--- a/samphiresill-sched/src/fleet/tests/plain_bursts.rs
+++ b/samphiresill-sched/src/fleet/tests/plain_bursts.rs
@@ -13,6 +13,7 @@
 use crate::fleet::event::{Event, RunResult};
 use crate::fleet::load::{FleetLoad, Placement};
 use crate::fleet::request::PlacementRequest;
+use crate::fleet::streams::StreamOrigin;
 
 const MS: Duration = Duration::from_millis(1);
 const TARGETS: usize = 4;
@@ -201,6 +202,7 @@
             is_first_attempt: std::mem::take(&mut job.is_first_attempt),
             waited: now.saturating_sub(job.waiting_since),
             has_run: false,
+            origin: &StreamOrigin::New,
         };
         let run = scheduler.next_run();
         let placement = match scheduler.place(&req, run, self.rng.random(), now) {
--- a/samphiresill-sched/src/fleet/tests/plain_rejections.rs
+++ b/samphiresill-sched/src/fleet/tests/plain_rejections.rs
@@ -9,6 +9,7 @@
 use crate::fleet::event::RunResult;
 use crate::fleet::load::{FleetLoad, Placement};
 use crate::fleet::request::PlacementRequest;
+use crate::fleet::streams::StreamOrigin;
 
 const SECOND: Duration = Duration::from_secs(1);
 const MS: Duration = Duration::from_millis(1);
@@ -53,6 +54,7 @@
         is_first_attempt: waited.is_zero(),
         waited,
         has_run,
+        origin: &StreamOrigin::New,
     };
     let run = fleet_load.next_run();
     fleet_load.place(&req, run, 0.5, now)
--- a/samphiresill-sched/src/fleet/tests/simulation.rs
+++ b/samphiresill-sched/src/fleet/tests/simulation.rs
@@ -15,6 +15,7 @@
 use crate::fleet::event::RunResult;
 use crate::fleet::load::{FleetLoad, Placement};
 use crate::fleet::request::{Generation, PlacementRequest, PromptPart, RunId};
+use crate::fleet::streams::StreamOrigin;
 
 /// Prefill rate of an engine of speed 1, in tokens per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 48.0;
@@ -148,6 +149,7 @@
             is_first_attempt: true,
             waited: Duration::ZERO,
             has_run: false,
+            origin: &StreamOrigin::New,
         }
     }
 }
