--- a/samphiresill-gateway/src/tests/frames.rs
+++ b/samphiresill-gateway/src/tests/frames.rs
@@ -7,9 +7,9 @@
 use samphiresill_sched::fleet::event::{Event, RunResult};
 use samphiresill_sched::fleet::quarantine::{MAX_ENTRIES, Notice};
 use samphiresill_sched::fleet::request::{PlacementRequest, RunId};
-use samphiresill_sched::fleet::streams::StreamOrigin;
+use samphiresill_sched::fleet::streams::{StreamId, StreamOrigin};
 
-use crate::knowledge::directory::EntryColdTime;
+use crate::knowledge::directory::{EntryColdTime, EntryVersion};
 use crate::knowledge::evacuations;
 use crate::peers::frame::{Frame, LoadFrame, MAX_BYTES, PlacementRequestFrame, StoreAnswers};
 
@@ -153,6 +153,80 @@
     assert_eq!(format!("{before:?}"), format!("{:?}", frame()));
 }
 
+/// Guards against software versions, beginnings of streams and origins that are lost, or that a gateway
+/// of the version before, which reads only the frame, cannot skip.
+#[test]
+fn versions_and_origins_follow_the_frame() {
+    let Frame::Load(load) = frame() else {
+        panic!("a load frame");
+    };
+    let stream = StreamId::of(&"r1".into());
+    let began = Event::StreamBegan {
+        stream,
+        target: "t1".into(),
+        version: "v1".into(),
+    };
+    let load = LoadFrame {
+        events: load.events.iter().cloned().chain([began]).collect(),
+        software_versions: vec![EntryVersion {
+            index: 2,
+            version: "v2".into(),
+        }],
+        ..load
+    };
+    let bytes = Frame::Load(load.clone()).encode().expect("a frame");
+    let Ok(Frame::Load(read)) = Frame::decode(&bytes) else {
+        panic!("a load frame");
+    };
+    assert_eq!(read.software_versions, load.software_versions);
+    assert_eq!(read.events, load.events);
+    let (before, _) = postcard::take_from_bytes::<Frame>(&bytes).expect("a frame");
+    assert_eq!(format!("{before:?}"), format!("{:?}", frame()));
+    let (service, domain) = (ServiceName::from("model"), DomainName::from("d1"));
+    for origin in [
+        StreamOrigin::New,
+        StreamOrigin::At("v1".into()),
+        StreamOrigin::Of(stream),
+        StreamOrigin::Unknown,
+    ] {
+        let req = request(&service, &domain, &[], &origin);
+        let frame = Frame::PlacementRequest(PlacementRequestFrame::new(RUN, &req));
+        let bytes = frame.encode().expect("a frame");
+        let Ok(Frame::PlacementRequest(read)) = Frame::decode(&bytes) else {
+            panic!("a placement request");
+        };
+        assert_eq!(read.origin, origin);
+        assert!(postcard::take_from_bytes::<Frame>(&bytes).is_ok());
+    }
+}
+
+const RUN: RunId = RunId {
+    origin: 1,
+    number: 1,
+};
+
+fn request<'a>(
+    service: &'a ServiceName,
+    domain: &'a DomainName,
+    avoided: &'a [TargetName],
+    origin: &'a StreamOrigin,
+) -> PlacementRequest<'a> {
+    PlacementRequest {
+        customer: None,
+        service,
+        generation: None,
+        latency_objective: Duration::from_secs(1),
+        time_left: Duration::from_secs(10),
+        domain,
+        tried: &[],
+        avoided,
+        is_first_attempt: true,
+        waited: Duration::ZERO,
+        has_run: false,
+        origin,
+    }
+}
+
 /// Truncated frames must be rejected, and decoding a frame with a changed byte must not panic.
 #[test]
 fn truncated_frames_are_rejected_and_corrupted_ones_do_not_panic() {
@@ -177,25 +251,9 @@
         .map(|n| TargetName::from(format!("i-{n:010}")))
         .collect();
     let (service, domain) = (ServiceName::from("model"), DomainName::from("d1"));
-    let req = PlacementRequest {
-        customer: None,
-        service: &service,
-        generation: None,
-        latency_objective: Duration::from_secs(1),
-        time_left: Duration::from_secs(10),
-        domain: &domain,
-        tried: &[],
-        avoided: &avoided,
-        is_first_attempt: true,
-        waited: Duration::ZERO,
-        has_run: false,
-        origin: &StreamOrigin::New,
-    };
-    let run = RunId {
-        origin: 1,
-        number: 1,
-    };
-    let frame = Frame::PlacementRequest(PlacementRequestFrame::new(run, &req));
+    let origin = StreamOrigin::At("v1".into());
+    let req = request(&service, &domain, &avoided, &origin);
+    let frame = Frame::PlacementRequest(PlacementRequestFrame::new(RUN, &req));
     let bytes = frame.encode().expect("an encoded frame");
     assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
 }
--- a/samphiresill-sched/src/fleet/tests/mod.rs
+++ b/samphiresill-sched/src/fleet/tests/mod.rs
@@ -18,4 +18,5 @@
 mod rate_limit;
 mod simulation;
 mod stated_shares;
+mod streams;
 mod whole_request;
