Count incomplete events of streams against the memory budget

Report of other operators: a faulty server sends bytes that are no answer without end, and the router that called it runs out of memory. Cause here: what is buffered of an event that its target does not complete, up to 256 KB a stream, counted against no budget. Change: beyond the memory of each stream, the buffer is reserved; a stream for which there is no memory ends, which is the fault of no target.

--- a/samphiresill-gateway/src/relay/delivery.rs
+++ b/samphiresill-gateway/src/relay/delivery.rs
@@ -3,7 +3,8 @@
 //! Guards against many callers that read their streams slowly: while the budget has no memory for the
 //! next chunk, the target is not read, and so has to wait.
 //!
-//! Invariant: at most one chunk waits, of at most the size that the caller passes.
+//! Invariants: at most one chunk waits, of at most the size that the caller passes; an event that is not
+//! complete counts against the budget, however long its target takes to end it.
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -26,6 +27,8 @@
 pub struct Delivery {
     budget: BodyBudget,
     _stream: Reservation,
+    /// Memory of the event that is not complete yet, beyond that of the stream.
+    incomplete: Reservation,
     /// The chunk that is to be delivered next, and the reservation that it waits for.
     #[debug(skip)]
     next: Option<(Bytes, Reserving)>,
@@ -39,10 +42,27 @@
         stream.grow(STREAM_BYTES).then(|| Self {
             budget: budget.clone(),
             _stream: stream,
+            incomplete: budget.new_reservation(),
             next: None,
         })
     }
 
+    /// Reserves the memory of an event that is not complete yet, of `bytes` so far. Returns false when
+    /// the budget has none.
+    #[must_use]
+    pub fn reserve_incomplete(&mut self, bytes: usize) -> bool {
+        if bytes <= STREAM_BYTES {
+            if self.incomplete.size() > 0 {
+                self.incomplete = self.budget.new_reservation();
+            }
+            return true;
+        }
+        let reserved = self.incomplete.size();
+        let missing = bytes.saturating_sub(reserved);
+        // As much more as the buffer grows by.
+        missing == 0 || self.incomplete.grow(missing.max(reserved)) || self.incomplete.grow(missing)
+    }
+
     /// Adds a chunk, after the one before has been delivered. It waits for memory at most `time_left`.
     pub fn push(&mut self, chunk: Bytes, time_left: Duration) {
         let (budget, size) = (self.budget.clone(), chunk.len());
--- a/samphiresill-gateway/src/relay/events.rs
+++ b/samphiresill-gateway/src/relay/events.rs
@@ -42,6 +42,12 @@
         self.buf.split().freeze()
     }
 
+    /// Number of buffered bytes.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether the incomplete event exceeds the maximum size of an event.
     #[must_use]
     pub fn is_event_too_long(&self) -> bool {
--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream.rs
@@ -26,6 +26,7 @@
 use tokio::time::Sleep;
 
 use super::attempt::{Failure, RunGuard, TargetResponse};
+use super::body;
 use super::delivery::Delivery;
 use super::events::{EventBoundary, EventSplitter};
 use super::forward::{self, Attempts};
@@ -269,7 +270,6 @@
     }
 
     fn handle_poll(&mut self, polled: BodyPoll) -> Step {
-        let during_response = |cause| Failure::new(FailurePoint::DuringAnswer, cause);
         let now = self.gateway.clock.monotonic();
         match polled {
             // A caller that reads slowly keeps bytes waiting, so that the timer is not polled.
@@ -282,7 +282,7 @@
                     self.record_progress();
                     Step::Deliver(bytes)
                 }
-                Err(cause) => self.fail(during_response(cause)),
+                Err(failure) => self.fail(*failure),
             },
             BodyPoll::Complete => match self.truncation() {
                 Some(cause) => self.fail(Failure::broken_response(cause)),
@@ -358,7 +358,7 @@
 
     /// Returns the bytes that may be delivered now. Of a resumable stream, these are complete
     /// events that were not delivered before.
-    fn take_complete_events(&mut self, bytes: &Bytes) -> Result<Bytes, &'static str> {
+    fn take_complete_events(&mut self, bytes: &Bytes) -> Result<Bytes, Box<Failure>> {
         let now = self.gateway.clock.monotonic();
         self.boundary.push(bytes);
         if !self.is_resumable {
@@ -380,7 +380,11 @@
             complete.extend_from_slice(&event.bytes);
         }
         if self.splitter.is_event_too_long() {
-            return Err("an event is too long");
+            let cause = "an event is too long";
+            return Err(Box::new(Failure::new(FailurePoint::DuringAnswer, cause)));
+        }
+        if !self.delivery.reserve_incomplete(self.splitter.buffered()) {
+            return Err(Box::new(body::no_memory()));
         }
         Ok(complete.freeze())
     }
