--- a/samphiresill-sched/src/fleet/streams.rs
+++ b/samphiresill-sched/src/fleet/streams.rs
@@ -139,6 +139,15 @@
         std::mem::take(&mut self.unsaved)
     }
 
+    /// Takes back records that could not be saved.
+    pub fn return_unsaved(&mut self, mut records: Vec<(StreamId, SoftwareVersion)>) {
+        if self.is_saving {
+            records.append(&mut self.unsaved);
+            let excess = records.len().saturating_sub(MAX_RECORDS);
+            self.unsaved = records.split_off(excess);
+        }
+    }
+
     /// Drops what was recorded of a target shortly before it turned out to run another version.
     pub fn distrust(&mut self, target: &TargetName, now: Duration) {
         for record in self.records.values_mut() {
--- a/samphiresill-sched/src/fleet/tests/streams.rs
+++ b/samphiresill-sched/src/fleet/tests/streams.rs
@@ -99,8 +99,14 @@
         None,
         "the oldest is dropped"
     );
-    records.take_unsaved();
+    let unsaved = records.take_unsaved();
     assert_eq!(records.take_unsaved(), Vec::new());
+    records.return_unsaved(unsaved);
+    assert_eq!(
+        records.take_unsaved().len(),
+        MAX_RECORDS,
+        "they are saved later"
+    );
     records.sweep(NOW + RETENTION + SECOND);
     assert_eq!(records.all(), Vec::new());
 }
