Don't refuse a customer for long for what it has got before

Cause: the account of service decays within seconds, and all that counts is its ratio to the fair level of the same seconds, which is just above 1 for all that time. Change: while its service of the last 0.6 s is below 0.75 of the level of that service, a customer counts as within its share.

--- a/samphiresill-sched/src/fleet/shares.rs
+++ b/samphiresill-sched/src/fleet/shares.rs
@@ -4,6 +4,10 @@
 //! overload, a customer that has received more service than the max-min fair level is refused
 //! before one that has received less.
 //!
+//! A customer that has got much, for example before others began, would be refused until its service has
+//! decayed, for seconds and far below what the others get. It therefore counts as within its share while
+//! its service of the last moments is below the level of these.
+//!
 //! The service of the last seconds also falls when requests are refused, and with it the fair level. Where
 //! the operators state the throughput of the fleet, a customer therefore counts as above its share only
 //! when it has received more than the fair level of that throughput.
@@ -16,6 +20,12 @@
 /// Time constant of the exponential decay: half of the window over which the operators measure
 /// shares.
 const DECAY_TIME_CONSTANT: Duration = Duration::from_secs(2);
+/// Time constant of the decay of recent service: long compared with the gaps between the requests of a
+/// customer that asks for much.
+const RECENT_TIME_CONSTANT: Duration = Duration::from_millis(600);
+/// Recent service relative to the fair level of recent service up to which a customer counts as within its
+/// share, whatever it has got before.
+const MIN_RECENT_RATIO: f64 = 0.75;
 /// Demand and service up to which a customer is dropped, in weighted tokens.
 const MIN_USAGE: f64 = 1.0;
 
@@ -24,15 +34,25 @@
 struct Usage {
     demanded: f64,
     served: f64,
+    /// Demand and service of the last moments.
+    recently_demanded: f64,
+    recently_served: f64,
     updated_at: Duration,
 }
 
 impl Usage {
+    fn recent_demand(&self) -> f64 {
+        self.recently_demanded.max(self.recently_served)
+    }
+
     fn decay(&mut self, now: Duration) {
         let age = now.saturating_sub(self.updated_at).as_secs_f64();
         let factor = (-age / DECAY_TIME_CONSTANT.as_secs_f64()).exp();
         self.demanded *= factor;
         self.served *= factor;
+        let factor = (-age / RECENT_TIME_CONSTANT.as_secs_f64()).exp();
+        self.recently_demanded *= factor;
+        self.recently_served *= factor;
         self.updated_at = now;
     }
 }
@@ -48,12 +68,16 @@
 impl Shares {
     /// Adds to the demand of a customer, in weighted tokens.
     pub fn add_demand(&mut self, customer: &CustomerName, cost: u64, now: Duration) {
-        self.usage(customer, now).demanded += cost as f64;
+        let usage = self.usage(customer, now);
+        usage.demanded += cost as f64;
+        usage.recently_demanded += cost as f64;
     }
 
     /// Adds to the service of a customer, in weighted tokens.
     pub fn add_service(&mut self, customer: &CustomerName, cost: u64, now: Duration) {
-        self.usage(customer, now).served += cost as f64;
+        let usage = self.usage(customer, now);
+        usage.served += cost as f64;
+        usage.recently_served += cost as f64;
     }
 
     /// Sets the throughput of the fleet that the operators state, in weighted tokens per second.
@@ -84,6 +108,9 @@
             return 0.0;
         }
         let ratio = served / fair_level;
+        if ratio > 1.0 && self.recent_ratio(customer) < MIN_RECENT_RATIO {
+            return 1.0;
+        }
         // A constant rate amounts to this usage when it is decayed.
         let stated =
             self.stated_per_s.map_or(0.0, |rate| rate as f64) * DECAY_TIME_CONSTANT.as_secs_f64();
@@ -93,26 +120,22 @@
         (served / self.fair_level(stated)).max(1.0)
     }
 
-    /// Returns the max-min fair level: the bound on each customer's demand at which the bounded
-    /// demands add up to `throughput`.
-    fn fair_level(&self, throughput: f64) -> f64 {
-        let mut demanded: Vec<f64> = self
-            .usages
-            .values()
-            .map(|u| u.demanded.max(u.served))
-            .collect();
-        demanded.sort_by(f64::total_cmp);
-        let mut remaining = throughput;
-        let mut fair_level = 0.0;
-        for (index, demand) in demanded.iter().enumerate() {
-            let equal_share = remaining / (demanded.len() - index) as f64;
-            fair_level = equal_share;
-            if equal_share <= *demand {
-                break;
-            }
-            remaining -= demand;
+    /// Returns the service of the last moments relative to the fair level of that service.
+    fn recent_ratio(&self, customer: &CustomerName) -> f64 {
+        let total: f64 = self.usages.values().map(|u| u.recently_served).sum();
+        let demands = self.usages.values().map(Usage::recent_demand);
+        let fair_level = max_min_level(demands.collect(), total);
+        let served = self.usages.get(customer).map(|u| u.recently_served);
+        if fair_level <= 0.0 {
+            return 1.0;
         }
-        fair_level
+        served.unwrap_or(0.0) / fair_level
+    }
+
+    /// Returns the max-min fair level of a throughput.
+    fn fair_level(&self, throughput: f64) -> f64 {
+        let demands = self.usages.values().map(|u| u.demanded.max(u.served));
+        max_min_level(demands.collect(), throughput)
     }
 
     fn usage(&mut self, customer: &CustomerName, now: Duration) -> &mut Usage {
@@ -121,3 +144,20 @@
         usage
     }
 }
+
+/// Returns the max-min fair level: the bound on each demand at which the bounded demands add up to
+/// `throughput`.
+fn max_min_level(mut demands: Vec<f64>, throughput: f64) -> f64 {
+    demands.sort_by(f64::total_cmp);
+    let mut remaining = throughput;
+    let mut level = 0.0;
+    for (index, demand) in demands.iter().enumerate() {
+        let equal_share = remaining / (demands.len() - index) as f64;
+        level = equal_share;
+        if equal_share <= *demand {
+            break;
+        }
+        remaining -= demand;
+    }
+    level
+}
--- a/samphiresill-sched/src/fleet/tests/fair_share.rs
+++ b/samphiresill-sched/src/fleet/tests/fair_share.rs
@@ -6,8 +6,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
+use samphiresill_core::name::CustomerName;
 
 use super::simulation::{Request, Simulation};
+use crate::fleet::shares::Shares;
 
 /// Relative speeds of the engines.
 const SPEEDS: [f64; 12] = [0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 0.6, 1.0, 1.6];
@@ -243,3 +245,50 @@
         assert!(found.is_empty(), "seed {seed}: {found:?}");
     }
 }
+
+/// `Phase` is what two customers are served in each tenth of a second, in weighted tokens.
+struct Phase {
+    ms: u32,
+    heavy: u64,
+    other: u64,
+}
+
+struct Imbalance {
+    phases: &'static [Phase],
+    /// Whether the heavy customer is then refused as above its share.
+    is_above: bool,
+}
+
+const FLOOD: Phase = Phase {
+    ms: 2_000,
+    heavy: 200_000,
+    other: 20_000,
+};
+
+/// Guards against a customer that is refused as above its share for seconds because of what it has got
+/// before, while others get many times as much.
+#[rstest]
+#[case::during_the_flood(Imbalance { phases: &[FLOOD], is_above: true })]
+#[case::just_after(Imbalance { phases: &[FLOOD, Phase { ms: 200, heavy: 4_000, other: 80_000 }], is_above: true })]
+#[case::refused_for_a_second(Imbalance { phases: &[FLOOD, Phase { ms: 1_000, heavy: 4_000, other: 80_000 }], is_above: false })]
+#[case::refused_for_two_seconds(Imbalance { phases: &[FLOOD, Phase { ms: 2_000, heavy: 4_000, other: 80_000 }], is_above: false })]
+#[case::served_like_others(Imbalance { phases: &[FLOOD, Phase { ms: 1_000, heavy: 80_000, other: 80_000 }], is_above: true })]
+#[case::always_more(Imbalance { phases: &[FLOOD, Phase { ms: 4_000, heavy: 200_000, other: 80_000 }], is_above: true })]
+fn a_customer_that_got_much_is_not_refused_for_seconds(#[case] case: Imbalance) {
+    const STEP: Duration = Duration::from_millis(100);
+    let (heavy, other) = (CustomerName::from("heavy"), CustomerName::from("other"));
+    let mut shares = Shares::default();
+    let mut now = Duration::from_secs(100);
+    for phase in case.phases {
+        for _ in 0..phase.ms / 100 {
+            now += STEP;
+            // Both ask for more than they get.
+            shares.add_demand(&heavy, 400_000, now);
+            shares.add_demand(&other, 100_000, now);
+            shares.add_service(&heavy, phase.heavy, now);
+            shares.add_service(&other, phase.other, now);
+        }
+    }
+    let ratio = shares.ratio(&heavy, now);
+    assert_eq!(ratio > 1.0, case.is_above, "{ratio}");
+}
