--- a/samphiresill-sched/src/fleet/streams.rs
+++ b/samphiresill-sched/src/fleet/streams.rs
@@ -15,9 +15,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Time for which records are kept: longer than the timeout of any route.
-pub const RETENTION: Duration = Duration::from_secs(40);
-/// Maximum number of records: those of 40 s at the planned 3,000 streams a second.
-pub const MAX_RECORDS: usize = 120_000;
+pub const RETENTION: Duration = Duration::from_secs(25);
+/// Maximum number of records: those of 25 s at the planned 3,000 streams a second.
+pub const MAX_RECORDS: usize = 75_000;
 /// Age up to which the records of a target do not count when it turns out to run another version: it
 /// may have restarted before the router learnt of it.
 const RESTART_NOTICE: Duration = Duration::from_secs(5);
