Load the beginnings of streams from all schedulers, not from the first

Callers saw each take-up refused at both gateways of one failure domain. Cause: half of the gateways started together while the store was away, and a gateway took the records of the first peer that had any; two of them took each other's, two streams, and not the 405 that the others knew. Change: the records of every scheduler are loaded, each once, within two seconds of the start; until then, or until the store has been read, a lookup may take a second.

--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -243,6 +243,10 @@
         self.scheduler_since = is_scheduler.then_some(since);
         if is_scheduler && !was_scheduler {
             let (gateway, peers) = (Arc::clone(&self.gateway), Arc::clone(&self.peers));
+            tokio::spawn(warm_up::load_streams(
+                Arc::clone(&gateway),
+                Arc::clone(&peers),
+            ));
             tokio::spawn(warm_up::run(gateway, peers));
         }
         self.peers
--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -4,12 +4,14 @@
 //! Routers can restart while engines are warm. Without the contents, prompts would be placed on
 //! engines that do not cache their prefix and have to prefill it again.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::future;
 use futures::stream::{self, StreamExt};
 use hyper::StatusCode;
 use samphiresill_core::name::{KeyHash, TargetName};
@@ -27,6 +29,9 @@
 /// Time after the query within which other schedulers that have just started publish the contents
 /// of the engines that they query.
 const CONVERGENCE_TIME: Duration = Duration::from_secs(1);
+/// Time in which the versions at which streams began are loaded from other schedulers: membership has
+/// converged by then.
+const STREAM_LOADING_TIME: Duration = Duration::from_secs(2);
 /// Timeout of a query to an engine.
 const CACHE_LIST_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -41,15 +46,11 @@
 /// Loads the contents once after this gateway has become a scheduler.
 pub(super) async fn run(gateway: Arc<Gateway>, peers: Arc<Peers>) {
     let began = gateway.clock.monotonic();
-    let mut has_streams = false;
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         if !peers.schedulers().is_local {
             return;
         }
-        if !has_streams {
-            has_streams = load_streams(&gateway, &peers).await;
-        }
         let is_known = !gateway.fleet_load().engines().is_empty();
         if is_known && load_from_peer(&gateway, &peers).await {
             break;
@@ -64,23 +65,34 @@
     peers.is_warm.store(true, Ordering::Release);
 }
 
-/// Loads the versions at which streams began from the first other scheduler that knows any.
-async fn load_streams(gateway: &Gateway, peers: &Peers) -> bool {
-    for peer in peers.other_schedulers() {
-        match snapshot::fetch_streams(gateway, peer).await {
-            Ok(streams) if streams.is_empty() => {}
-            Ok(streams) => {
-                log::info!(peer:% = peer, streams = streams.len(); "beginnings of streams loaded from a peer");
-                let now = gateway.clock.monotonic();
-                gateway.fleet_load().streams_mut().load(streams, now);
-                return true;
-            }
-            Err(e) => {
-                log::debug!(peer:% = peer, error:% = format!("{e:#}"); "failed to load streams from a peer");
+/// Loads the versions at which streams began once after this gateway has become a scheduler, from each
+/// other scheduler: some of them may have started just now, too.
+pub(super) async fn load_streams(gateway: Arc<Gateway>, peers: Arc<Peers>) {
+    let began = gateway.clock.monotonic();
+    let mut loaded = BTreeSet::new();
+    let mut streams = 0;
+    while gateway.clock.monotonic().saturating_sub(began) < STREAM_LOADING_TIME {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let others = peers.other_schedulers().into_iter();
+        let missing = others.filter(|peer| !loaded.contains(peer));
+        let fetches =
+            missing.map(async |peer| (peer, snapshot::fetch_streams(&gateway, peer).await));
+        for (peer, fetched) in future::join_all(fetches).await {
+            match fetched {
+                Ok(records) => {
+                    streams += records.len();
+                    let now = gateway.clock.monotonic();
+                    gateway.fleet_load().streams_mut().load(records, now);
+                    loaded.insert(peer);
+                }
+                Err(e) => {
+                    log::debug!(peer:% = peer, error:% = format!("{e:#}"); "failed to load streams from a peer");
+                }
             }
         }
     }
-    false
+    gateway.fleet_load().streams_mut().set_loaded();
+    log::info!(peers = loaded.len(), streams; "beginnings of streams loaded from peers");
 }
 
 /// Loads the contents from the first other scheduler that has them.
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -163,6 +163,7 @@
         for entry in entries {
             let before = old.get(&entry.name);
             if before.is_some_and(|t| t.entry.version != entry.version) {
+                // Sweeps are frequent enough for the age of its records.
                 self.streams.distrust(&entry.name, self.swept_at);
             }
             let engine = table.services.get(&entry.service).and_then(|s| s.engine);
--- a/samphiresill-sched/src/fleet/overload.rs
+++ b/samphiresill-sched/src/fleet/overload.rs
@@ -4,9 +4,8 @@
 //! Handles the load pattern in which the load balancer sends one router far more callers than its
 //! processor can serve, while others are idle. The router detects overload by late timers and
 //! refuses streams above a learnt limit. A burst of new connections makes timers late, too, so the
-//! limit rises quickly as soon as the processor is idle. While it
-//! refuses many streams, it reports itself as not ready, because the load balancer sends retries to
-//! the same router.
+//! limit rises quickly as soon as the processor is idle. While it refuses many streams, it reports
+//! itself as not ready, because the load balancer sends retries to the same router.
 //!
 //! Invariant: the limit is at least [`MIN_LIMIT`], so that a router whose timers were late for
 //! another reason recovers.
--- a/samphiresill-sched/src/fleet/streams.rs
+++ b/samphiresill-sched/src/fleet/streams.rs
@@ -111,6 +111,10 @@
         for (stream, version) in records {
             self.insert(stream, None, &version, now);
         }
+    }
+
+    /// Sets that the records of other processes have been loaded.
+    pub fn set_loaded(&mut self) {
         self.is_loaded = true;
     }
 
--- a/samphiresill-sched/src/fleet/tests/streams.rs
+++ b/samphiresill-sched/src/fleet/tests/streams.rs
@@ -169,7 +169,7 @@
 ) {
     let mut load = fleet_load(1, 2);
     if is_loaded {
-        load.streams_mut().load([], NOW);
+        load.streams_mut().set_loaded();
     }
     let request = Request::new("a", (1, 2_000), (2, 3_000), 20);
     let waited = Duration::from_millis(waited_ms);
