Load beginnings of streams only where the role of a scheduler has settled

Cause: for the first half second all gateways of a large fleet take themselves for schedulers; 91 of them read the table of the store and the records of six peers after each start, and went on after they had learnt better.

--- a/samphiresill-gateway/src/peers/warm_up.rs
+++ b/samphiresill-gateway/src/peers/warm_up.rs
@@ -29,6 +29,8 @@
 /// Time after the query within which other schedulers that have just started publish the contents
 /// of the engines that they query.
 const CONVERGENCE_TIME: Duration = Duration::from_secs(1);
+/// Time after a start in which gateways of a large fleet take themselves for schedulers.
+const ROLE_CONVERGENCE_TIME: Duration = Duration::from_millis(500);
 /// Time in which the versions at which streams began are loaded from other schedulers: membership has
 /// converged by then.
 const STREAM_LOADING_TIME: Duration = Duration::from_secs(2);
@@ -68,11 +70,14 @@
 /// Loads the versions at which streams began once after this gateway has become a scheduler, from each
 /// other scheduler: some of them may have started just now, too.
 pub(super) async fn load_streams(gateway: Arc<Gateway>, peers: Arc<Peers>) {
+    tokio::time::sleep(ROLE_CONVERGENCE_TIME).await;
     let began = gateway.clock.monotonic();
     let mut loaded = BTreeSet::new();
     let mut streams = 0;
     while gateway.clock.monotonic().saturating_sub(began) < STREAM_LOADING_TIME {
-        tokio::time::sleep(POLL_INTERVAL).await;
+        if !peers.is_scheduler() {
+            return;
+        }
         let others = peers.other_schedulers().into_iter();
         let missing = others.filter(|peer| !loaded.contains(peer));
         let fetches =
@@ -90,6 +95,7 @@
                 }
             }
         }
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
     gateway.fleet_load().streams_mut().set_loaded();
     log::info!(peers = loaded.len(), streams; "beginnings of streams loaded from peers");
