Count a crash only while the failure domain of the target is reachable

Cause: a crash was what a host says of itself, "connection refused". A network that answers for hosts that it no longer reaches says the same. Class: a router claims for the target what it knows of its own path only. Change: when a host refuses, the probe also tries up to four other targets of its failure domain, usable ones first; unless one accepts, nothing is reported. A target without neighbours is judged as before. Ruled out: a wider window for simultaneous crashes, which would hide storms of a deadly part; judging by majority of schedulers, which a cut leaves without.

--- a/samphiresill-gateway/src/crash_probe.rs
+++ b/samphiresill-gateway/src/crash_probe.rs
@@ -1,4 +1,7 @@
-//! Tells crashes of targets from broken connections: the host of a crashed target refuses new ones.
+//! Tells crashes of targets from broken connections: the host of a crashed target refuses new ones,
+//! while other targets of its failure domain accept them. Where none does, the network between this
+//! router and the failure domain may refuse them, or the whole domain has failed: neither tells
+//! anything about what ran there.
 //!
 //! Invariant: at most one probe per target is in progress.
 
@@ -9,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::stream::{FuturesUnordered, StreamExt};
 use samphiresill_core::name::TargetName;
 use samphiresill_sched::fleet::load::Placement;
 use samphiresill_sched::fleet::quarantine::evidence::Suspect;
@@ -22,6 +26,8 @@
 const COLLECTION_TIME: Duration = Duration::from_millis(20);
 /// Timeout for the connection of a probe: several round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum number of other targets of the failure domain that are tried. A few may have crashed as well.
+const MAX_CONTROLS: usize = 4;
 
 /// `BrokenRuns` are the runs on one target whose connections broke.
 #[derive(Debug, Default)]
@@ -77,6 +83,10 @@
     };
     match connected {
         Err(connection::Error::Connect(e)) if is_refusal(e.kind()) => {
+            if !is_domain_reachable(&gateway, &target).await {
+                log::info!(target:%, error:% = e, runs = broken.count; "failure domain of the target is unreachable");
+                return;
+            }
             log::warn!(
                 target:%, error:% = e, runs = broken.count, suspects = broken.suspects.len();
                 "target crashed"
@@ -93,6 +103,27 @@
     }
 }
 
+/// Whether another target of the failure domain accepts a connection. A target without others there is
+/// judged by its own refusal.
+async fn is_domain_reachable(gateway: &Gateway, target: &TargetName) -> bool {
+    let mut controls = gateway.routing_state.neighbours(target);
+    if controls.is_empty() {
+        return true;
+    }
+    let unusable = gateway.fleet_load().unusable(gateway.clock.monotonic());
+    controls.sort_by_key(|(name, _)| unusable.contains(name));
+    let controls = controls.into_iter().take(MAX_CONTROLS);
+    let mut attempts: FuturesUnordered<_> = controls
+        .map(|(_, address)| Connection::open(address, CONNECT_TIMEOUT))
+        .collect();
+    while let Some(connected) = attempts.next().await {
+        if connected.is_ok() {
+            return true;
+        }
+    }
+    false
+}
+
 /// Whether the target's host has refused the connection: nothing listens there. Without an answer
 /// the host may be partitioned, which also breaks connections.
 fn is_refusal(kind: ErrorKind) -> bool {
--- a/samphiresill-gateway/src/knowledge/mod.rs
+++ b/samphiresill-gateway/src/knowledge/mod.rs
@@ -8,13 +8,14 @@
 pub mod target_log;
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use samphiresill_core::name::DomainName;
+use samphiresill_core::name::{DomainName, TargetName};
 use samphiresill_core::routing::{RoutingTable, TargetEntry};
 use samphiresill_member::store_watch::PollTurn;
 use serde::{Deserialize, Serialize};
@@ -244,6 +245,17 @@
         directory.rows().filter_map(|c| c.entry.clone()).collect()
     }
 
+    /// Returns the other targets in the failure domain of a target, of all services.
+    #[must_use]
+    pub fn neighbours(&self, target: &TargetName) -> Vec<(TargetName, SocketAddr)> {
+        let directory = lock(&self.directory);
+        let entries = || directory.rows().filter_map(|c| c.entry.as_ref());
+        let own = entries().find(|e| e.name == *target);
+        let others =
+            entries().filter(|e| own.is_some_and(|o| e.domain == o.domain && e.name != o.name));
+        others.map(|e| (e.name.clone(), e.address)).collect()
+    }
+
     /// Applies rows about evacuations from the store or a peer; older ones than the known are ignored.
     pub fn apply_evacuations(&self, rows: Vec<evacuations::Row>, source: &str, now: Duration) {
         if !rows.is_empty() && lock(&self.evacuations).apply(rows, source, now) {
