--- a/samphiresill-gateway/src/relay/stream.rs
+++ b/samphiresill-gateway/src/relay/stream/mod.rs
@@ -7,6 +7,10 @@
 //! ascending order. The body ends without an error only if the body of the last run did, and not
 //! within an event: where the close of its connection ends a body, a crash looks like its end.
 
+mod pace;
+mod report;
+mod resume;
+
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -22,9 +26,10 @@
 use samphiresill_core::name::SoftwareVersion;
 use samphiresill_sched::fleet::event::RunResult;
 use samphiresill_sched::fleet::load::Placement;
-use samphiresill_sched::fleet::streams::StreamId;
 use tokio::time::Sleep;
 
+use self::pace::Pace;
+use self::resume::no_event_failure;
 use super::attempt::{Failure, RunGuard, TargetResponse};
 use super::body;
 use super::delivery::Delivery;
@@ -34,22 +39,8 @@
 use super::request_context::RequestContext;
 use super::response::ResponseBody;
 use crate::gateway::{Gateway, InFlightGuard};
-use crate::log_budget::Kind;
-use crate::metrics::{ContinuedBy, Outcome, StreamEnd, VersionMatch};
+use crate::metrics::Outcome;
 
-/// Time before the deadline from which on a caller that leaves counts as one that ran out of time:
-/// its own clock started before the request arrived here.
-const CALLER_DEADLINE_MARGIN: Duration = Duration::from_millis(50);
-/// Number of events from which on their mean interval is reported.
-const MIN_PACED_EVENTS: u32 = 3;
-/// Time without data after which a stream is resumed on another target, in multiples of the pause
-/// objective: callers abandon the stream after eight.
-const SILENCE_TIMEOUT_PAUSES: u32 = 4;
-/// Pause objective of routes that specify none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
-/// Interval at which progress of a stream is reported to the fleet load: short compared with the
-/// time after which a target counts as stalled.
-const PROGRESS_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Value of `end` in the log for a stream that completed.
 const COMPLETE: &str = "complete";
 
@@ -80,33 +71,6 @@
     Ended,
 }
 
-/// `Pace` measures the intervals between the events of one run.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pace {
-    events: u32,
-    first_at: Duration,
-    last_at: Duration,
-    longest: Duration,
-}
-
-impl Pace {
-    fn observe(&mut self, events: u32, now: Duration) {
-        if self.events == 0 {
-            self.first_at = now;
-        } else {
-            self.longest = self.longest.max(now.saturating_sub(self.last_at));
-        }
-        self.events += events;
-        self.last_at = now;
-    }
-
-    /// Returns the mean interval, when there are enough events to tell.
-    fn interval(&self) -> Option<Duration> {
-        (self.events >= MIN_PACED_EVENTS)
-            .then(|| self.last_at.saturating_sub(self.first_at) / (self.events - 1))
-    }
-}
-
 /// `EventStream` is a response body that is relayed as events.
 #[derive(Debug)]
 pub struct EventStream {
@@ -248,27 +212,6 @@
         }
     }
 
-    /// Records that the target is not read until the caller has taken what is delivered.
-    fn hold_run(&mut self) {
-        if let State::Relaying { run, .. } = &self.state
-            && !std::mem::replace(&mut self.is_held, true)
-        {
-            self.gateway.fleet_load().hold_run(&run.placement);
-        }
-    }
-
-    /// Records that the stream waits for its target.
-    fn resume_run(&mut self) {
-        if let State::Relaying { run, .. } = &self.state
-            && std::mem::replace(&mut self.is_held, false)
-        {
-            let now = self.gateway.clock.monotonic();
-            // The target could not write meanwhile, so that its silence begins now.
-            self.progress_at = now;
-            self.gateway.fleet_load().resume_run(&run.placement, now);
-        }
-    }
-
     fn handle_poll(&mut self, polled: BodyPoll) -> Step {
         let now = self.gateway.clock.monotonic();
         match polled {
@@ -338,24 +281,6 @@
         }
     }
 
-    /// Ends a run that sends bytes but no new event, as if it were silent. The timer alone would not
-    /// do: it is polled only while no bytes are there.
-    fn handle_lack_of_events(&mut self) -> Step {
-        let now = self.gateway.clock.monotonic();
-        if self.ctx.time_left(now).is_zero() {
-            return Step::Abort(self.abort("time is up"));
-        }
-        if self.is_resumable && now >= self.silent_at() {
-            return self.fail(no_event_failure());
-        }
-        Step::Continue
-    }
-
-    /// Time at which the run counts as silent.
-    fn silent_at(&self) -> Duration {
-        self.progress_at + self.pause() * SILENCE_TIMEOUT_PAUSES
-    }
-
     /// Returns the bytes that may be delivered now. Of a resumable stream, these are complete
     /// events that were not delivered before.
     fn take_complete_events(&mut self, bytes: &Bytes) -> Result<Bytes, Box<Failure>> {
@@ -399,68 +324,6 @@
         }
     }
 
-    /// Ends the current run, and starts another attempt where that is allowed.
-    fn fail(&mut self, failure: Failure) -> Step {
-        let state = std::mem::replace(&mut self.state, State::Ended);
-        let State::Relaying {
-            mut attempts,
-            mut run,
-            response,
-        } = state
-        else {
-            unreachable!("invariant: only a relayed run fails");
-        };
-        let cause = failure.cause.clone();
-        let is_over = attempts.handle_failure(&mut run, failure).is_err();
-        // The failed run must be uncounted before the next one is placed.
-        drop(response);
-        drop(run);
-        if is_over {
-            return Step::Abort(self.abort(&cause));
-        }
-        let resume_after = self.last_id.clone();
-        let resume_after = resume_after.or(self.ctx.last_event.as_deref().map(str::to_owned));
-        self.state = State::Resuming(Box::pin(async move {
-            let result = attempts.next_response(resume_after.as_deref()).await;
-            (attempts, result)
-        }));
-        Step::Continue
-    }
-
-    fn resume_with(
-        &mut self,
-        attempts: Box<Attempts>,
-        result: Result<(RunGuard, TargetResponse), forward::ForwardError>,
-    ) -> Result<(), String> {
-        let (run, response) = result.map_err(|end| format!("not resumed: {end:?}"))?;
-        let status = response.head.status;
-        if !status.is_success() {
-            return Err(format!("not resumed: status {status}"));
-        }
-        if !is_event_stream(&response.head.headers) {
-            return Err("not resumed: the response is no stream of events".to_owned());
-        }
-        self.runs += 1;
-        if self.first_at.is_some() {
-            let version_match = VersionMatch::of(self.version.as_ref(), run.version.as_ref());
-            let metrics = &self.gateway.metrics;
-            metrics.record_continuation(ContinuedBy::Router, version_match);
-        }
-        self.framing = Framing::of(&response.head);
-        self.boundary = EventBoundary::default();
-        self.splitter = EventSplitter::default();
-        self.pace = Pace::default();
-        self.is_held = false;
-        self.placement = run.placement.clone();
-        self.progress_at = self.gateway.clock.monotonic();
-        self.state = State::Relaying {
-            attempts,
-            run: Box::new(run),
-            response: Box::new(response),
-        };
-        Ok(())
-    }
-
     fn finish(&mut self) {
         self.log_end(COMPLETE);
         self.report_event_intervals();
@@ -501,133 +364,6 @@
         self.in_flight = None;
         io::Error::other(cause.to_owned())
     }
-
-    /// Records that the deadline has passed, unless the target had stalled before.
-    fn record_time_up(&mut self, now: Duration) {
-        let is_progressing = now.saturating_sub(self.progress_at) < self.pause() * 2;
-        if let State::Relaying { run, .. } = &mut self.state
-            && self.first_at.is_some()
-            && is_progressing
-        {
-            run.set_result(RunResult::TimeUp);
-        }
-    }
-
-    /// Longest pause between events that meets the objective.
-    fn pause(&self) -> Duration {
-        let objective = self.ctx.route.event_interval_objective;
-        objective.unwrap_or(DEFAULT_PAUSE)
-    }
-
-    /// Reports the intervals between events to the fleet load, while the run is counted.
-    fn report_event_intervals(&self) {
-        let State::Relaying { run, .. } = &self.state else {
-            return;
-        };
-        let now = self.gateway.clock.monotonic();
-        let mut fleet_load = self.gateway.fleet_load();
-        if let Some(interval) = self.pace.interval() {
-            fleet_load.record_event_interval(&run.placement, interval, now);
-        }
-        let longest = self.pace.longest;
-        let objective = self.ctx.route.event_interval_objective;
-        if objective.is_some_and(|objective| longest > objective) {
-            fleet_load.record_long_pause(&run.placement, longest, now);
-        }
-    }
-
-    fn record_outcome(&self, outcome: Outcome, took: Duration) {
-        let request_kind = self.ctx.route.request_kind;
-        self.gateway
-            .metrics
-            .record_request(request_kind, outcome, took);
-    }
-
-    /// Records that the stream holds its first event, so that others know where it may go on.
-    fn record_begin(&mut self) {
-        let State::Relaying { run, attempts, .. } = &mut self.state else {
-            return;
-        };
-        self.version.clone_from(&run.version);
-        attempts.record_begin(run.version.as_ref());
-        if self.ctx.is_continuation() {
-            let metrics = &self.gateway.metrics;
-            metrics.record_continuation(ContinuedBy::Caller, VersionMatch::Same);
-        } else if let Some(version) = run.version.as_ref().filter(|_| self.is_resumable) {
-            let now = self.gateway.clock.monotonic();
-            let stream = StreamId::of(&self.ctx.request);
-            let mut fleet_load = self.gateway.fleet_load();
-            fleet_load.record_stream(stream, &run.placement.target, version, now);
-        }
-    }
-
-    fn record_progress(&mut self) {
-        let now = self.gateway.clock.monotonic();
-        self.progress_at = now;
-        if self.first_at.is_none() {
-            self.record_begin();
-            self.first_at = Some(now);
-            let took = now.saturating_sub(self.ctx.started);
-            self.gateway.metrics.record_first_event(took);
-            if let Some((customer, cost)) = self.ctx.customer_cost() {
-                self.gateway.customer_log.record_begin(customer, cost);
-            }
-        }
-        let is_due = self
-            .reported_at
-            .is_none_or(|at| now.saturating_sub(at) >= PROGRESS_REPORT_INTERVAL);
-        if let State::Relaying { run, .. } = &self.state
-            && is_due
-        {
-            self.reported_at = Some(now);
-            self.gateway.fleet_load().progress(&run.placement, now);
-        }
-    }
-
-    /// Counts and logs the end of the stream, with what shows whether it was complete.
-    fn log_end(&self, end: &str) {
-        let is_complete = end == COMPLETE;
-        let is_within_event = self.boundary.is_within_event();
-        self.gateway.metrics.record_stream_end(StreamEnd {
-            framing: self.framing,
-            is_complete,
-            is_within_event,
-        });
-        let kind = match self.framing {
-            _ if !is_complete => Kind::Failed,
-            Framing::Close => Kind::ServedUnframed,
-            Framing::Chunked | Framing::Length => Kind::Served,
-        };
-        if !self.gateway.log_budget.allows(kind) {
-            return;
-        }
-        let target = &self.placement.target;
-        let estimate = self.placement.estimate.unwrap_or_default();
-        let now = self.gateway.clock.monotonic();
-        let since = |at: Duration| at.saturating_sub(self.ctx.started).as_millis() as u64;
-        log::info!(
-            request:% = self.ctx.request, route = &*self.ctx.route.name,
-            target:%, end, events = self.events, framing:% = self.framing,
-            is_within_event, is_resumable = self.is_resumable, attempts = self.runs,
-            version = self.version.as_deref(), resumes = self.ctx.resumes.as_deref(),
-            expected_ms = self.placement.expected.as_millis() as u64,
-            wait_ms = estimate.wait.as_millis() as u64, prefill = estimate.prefill_tokens,
-            copied = estimate.copied_tokens, runs = estimate.runs, rate = estimate.rate,
-            token_interval_ms = estimate.token_interval_ms,
-            first_ms = self.first_at.map_or(0, since), ms = since(now);
-            "stream ended"
-        );
-    }
-}
-
-impl Drop for EventStream {
-    /// A caller that leaves about when its deadline passes has run out of time.
-    fn drop(&mut self) {
-        let now = self.gateway.clock.monotonic();
-        if self.ctx.time_left(now) < CALLER_DEADLINE_MARGIN {
-            self.record_time_up(now);
-        }
-    }
 }
 
 /// Whether a body may be taken for a stream of events: other media types have to be stated.
@@ -639,10 +375,6 @@
     media_type.is_some_and(|m| m.trim().eq_ignore_ascii_case("text/event-stream"))
 }
 
-fn no_event_failure() -> Failure {
-    Failure::new(FailurePoint::Silence, "no event for too long")
-}
-
 fn poll_body(mut body: Pin<&mut Incoming>, cx: &mut Context<'_>) -> Poll<BodyPoll> {
     loop {
         return Poll::Ready(match ready!(body.as_mut().poll_frame(cx)) {
--- a/samphiresill-sched/src/fleet/load/mod.rs
+++ b/samphiresill-sched/src/fleet/load/mod.rs
@@ -6,15 +6,18 @@
 //! Invariant: a run is counted on at most one target, and only until its end is known.
 
 mod balanced;
+mod caches;
 mod cold_start;
 mod continuation;
 mod crashes;
 mod directives;
 mod eligibility;
 mod evacuation;
+mod events;
 pub mod place;
 mod place_engine;
 mod place_plain;
+mod runs;
 mod stalls;
 mod target;
 mod unavailable;
@@ -38,21 +41,12 @@
 use super::quarantine::Quarantine;
 use super::quarantine::evidence::CrashEvidence;
 use super::queueing::{Queue, QueueLimit};
-use super::request::{PlacementRequest, PromptPart, RunId};
+use super::request::{PlacementRequest, RunId};
 use super::shares::Shares;
 use super::shortest_objective::ShortestObjective;
 use super::streams::StreamRecords;
 use super::token_interval::TokenIntervalTarget;
 
-/// Time for which the retry of a refused request is recognised as such.
-const RETRY_WINDOW: Duration = Duration::from_secs(10);
-/// Maximum number of recorded refused requests.
-const MAX_REFUSED: usize = 4_096;
-/// Maximum number of cached prompt parts in one event, so that it fits into a datagram.
-const MAX_CACHED_PARTS: usize = 80;
-/// Age up to which a run may be missing from the list of its origin, because its placement may
-/// still be in flight.
-const RUN_LIST_GRACE: Duration = Duration::from_millis(600);
 /// Age at which a run counts as ended; longer than the timeout of any route.
 const MAX_RUN_AGE: Duration = Duration::from_secs(40);
 
@@ -287,51 +281,6 @@
         self.token_interval.ms()
     }
 
-    /// Returns the names and addresses of all engines.
-    #[must_use]
-    pub fn engines(&self) -> Vec<(TargetName, SocketAddr)> {
-        let engines = self
-            .targets
-            .iter()
-            .filter(|(_, t)| matches!(t.load, TargetLoad::Engine(_)));
-        engines
-            .map(|(name, t)| (name.clone(), t.entry.address))
-            .collect()
-    }
-
-    /// Returns the prompt parts that engines cache, as far as known to this router.
-    #[must_use]
-    pub fn cached_parts(&self) -> Vec<(TargetName, Vec<PromptPart>)> {
-        let engines = self.targets.iter().filter_map(|(name, t)| match &t.load {
-            TargetLoad::Engine(load) => Some((name.clone(), load.cached_parts())),
-            TargetLoad::Plain(_) => None,
-        });
-        engines.filter(|(_, parts)| !parts.is_empty()).collect()
-    }
-
-    /// Adds prompt parts to the known content of an engine's cache.
-    pub fn add_cached(&mut self, target: &TargetName, parts: &[PromptPart]) {
-        if let Some(Target {
-            load: TargetLoad::Engine(load),
-            ..
-        }) = self.targets.get_mut(target)
-        {
-            load.add_cached(parts);
-        }
-    }
-
-    /// Adds prompt parts that this router has read from an engine, and publishes them to the other
-    /// routers.
-    pub fn publish_cached(&mut self, target: &TargetName, parts: &[PromptPart], now: Duration) {
-        for parts in parts.chunks(MAX_CACHED_PARTS) {
-            let event = Event::Cached {
-                target: target.clone(),
-                parts: parts.to_vec(),
-            };
-            self.publish(event, now);
-        }
-    }
-
     /// Returns the events for the other routers since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.outbox)
@@ -343,42 +292,6 @@
         !self.outbox.is_empty()
     }
 
-    /// Returns the numbers of the active runs of this router, so that other routers can reconcile
-    /// runs whose end they missed.
-    #[must_use]
-    pub fn own_runs(&self) -> Vec<u32> {
-        let own_runs = self.targets.values().flat_map(|t| &t.own_runs);
-        own_runs.map(|run| run.number).collect()
-    }
-
-    /// Ends the runs of another router that are not in `active`; all of its runs when `active` is
-    /// `None`, because the router is dead. With `is_relayed`, also publishes the ends.
-    pub fn retain_runs(
-        &mut self,
-        origin: u64,
-        active: Option<&BTreeSet<u32>>,
-        is_relayed: bool,
-        now: Duration,
-    ) {
-        let has_ended = |run: RunId, since: Duration| {
-            active.is_none_or(|active| {
-                !active.contains(&run.number) && now.saturating_sub(since) > RUN_LIST_GRACE
-            })
-        };
-        let mut ended = Vec::new();
-        if active.is_none() {
-            self.balance.remove_view(origin);
-        }
-        for (name, target) in &self.targets {
-            let runs = target.load.runs_of(origin).into_iter();
-            ended.extend(
-                runs.filter(|(run, since)| has_ended(*run, *since))
-                    .map(|(run, _)| (name.clone(), run)),
-            );
-        }
-        self.end_all(ended, is_relayed, now);
-    }
-
     /// Returns the targets that are ejected or have stalled.
     #[must_use]
     pub fn unusable(&self, now: Duration) -> BTreeSet<TargetName> {
@@ -426,174 +339,12 @@
         self.outbox.extend(events);
     }
 
-    fn end_all(&mut self, runs: Vec<(TargetName, RunId)>, is_relayed: bool, now: Duration) {
-        let events = runs.into_iter().map(|(target, run)| Event::Ended {
-            run,
-            target,
-            result: RunResult::Unknown,
-        });
-        self.apply(events.collect(), is_relayed, now);
-    }
-
     /// Applies an event of this router and queues it for the other routers.
     fn publish(&mut self, event: Event, now: Duration) {
         self.record_start(&event, true, now);
         self.apply_event(&event, now);
         self.outbox.push(event);
     }
-
-    fn track_own_run(&mut self, placement: &Placement, now: Duration) {
-        if let Some(target) = self.targets.get_mut(&placement.target) {
-            target.own_runs.insert(placement.run);
-            target.health.record_sent(now);
-        }
-    }
-
-    fn apply_event(&mut self, event: &Event, now: Duration) {
-        match event {
-            Event::Started {
-                run,
-                target,
-                customer,
-                generation,
-                prefill_tokens,
-            } => {
-                if let (Some(customer), Some(generation)) = (customer, generation) {
-                    self.shares.add_service(customer, generation.cost(), now);
-                }
-                self.directives.record_start(target, now);
-                if let Some(target) = self.targets.get_mut(target) {
-                    let generation = generation.as_ref().map(|g| (g, *prefill_tokens));
-                    target.load.start(*run, generation, now);
-                }
-            }
-            Event::FirstEvent { run, target } => {
-                self.record_cold_answer(target, *run, now);
-                if let Some(target) = self.targets.get_mut(target) {
-                    target.health.reported_alive(now);
-                    if let TargetLoad::Engine(load) = &mut target.load {
-                        load.record_first_event(*run, now);
-                    }
-                }
-            }
-            Event::Ended {
-                run,
-                target,
-                result,
-            } => self.apply_end(*run, target, *result, now),
-            Event::Refused { fingerprint, .. } => self.record_refused(*fingerprint, now),
-            Event::Cached { target, parts } => self.add_cached(target, parts),
-            Event::EventInterval { run, target, us } => {
-                if let Some(TargetLoad::Engine(load)) =
-                    self.targets.get_mut(target).map(|t| &mut t.load)
-                {
-                    load.record_event_interval(*run, Duration::from_micros(u64::from(*us)));
-                }
-            }
-            Event::Crashed {
-                target,
-                runs,
-                suspects,
-            } => {
-                self.cold_starts.record_crash(target, now);
-                self.crash_evidence
-                    .record_crash(target, *runs, suspects, now);
-            }
-            Event::Stalled { target } => {
-                if let Some(target) = self.targets.get_mut(target) {
-                    target.health.reported_stalled(now);
-                }
-            }
-            Event::RateLimit {
-                target,
-                rate,
-                sent_ms_ago,
-            } => self.apply_limit(target, *rate, *sent_ms_ago, now),
-            Event::Leaving { target, started_ms } => {
-                self.directives.record_leaving(target, *started_ms, now);
-            }
-            Event::LongPause { target, .. } => {
-                if let Some(target) = self.targets.get(target) {
-                    let late = self.late_streams.entry(target.entry.service.clone());
-                    late.or_default().observe(true);
-                }
-            }
-            Event::ConnectionBroken { .. } | Event::Cold { .. } => {
-                self.apply_cold_event(event, now);
-            }
-            Event::StreamBegan {
-                stream,
-                target,
-                version,
-            } => self.streams.record(*stream, target, version, now),
-        }
-    }
-
-    fn apply_end(&mut self, run: RunId, target: &TargetName, result: RunResult, now: Duration) {
-        self.record_cold_result(target, run, result, now);
-        if let Some(target) = self.targets.get_mut(target) {
-            if let TargetLoad::Engine(load) = &target.load {
-                self.token_interval.record_result(result);
-                if matches!(result, RunResult::Answered { .. }) {
-                    let late = self.late_streams.entry(target.entry.service.clone());
-                    late.or_default().observe(false);
-                }
-                if let (RunResult::Answered { .. }, Some((parts, fingerprint))) =
-                    (result, load.answered_parts(run))
-                {
-                    let began_at = load.since(run).unwrap_or(now);
-                    self.crash_evidence.record_answer(parts, now);
-                    if let Some(fingerprint) = fingerprint {
-                        self.crash_evidence.record_whole_answer(fingerprint, now);
-                    }
-                    for part in parts.iter().chain(&fingerprint) {
-                        self.quarantine.acquit(*part, began_at, now);
-                    }
-                }
-            }
-            target.record_result(run, result, now);
-            target.load.end(run);
-        }
-    }
-
-    /// Counts the demand of a request that another router has placed or refused. A request whose
-    /// refusal is known was counted with it.
-    fn count_remote_demand(&mut self, event: &Event, now: Duration) {
-        let (customer, cost) = match event {
-            Event::Started {
-                customer: Some(customer),
-                generation: Some(generation),
-                ..
-            } => {
-                if self.is_retry(place::fingerprint(Some(customer), generation), now) {
-                    return;
-                }
-                (customer, generation.cost())
-            }
-            Event::Refused {
-                customer: Some(customer),
-                cost,
-                ..
-            } => (customer, *cost),
-            _ => return,
-        };
-        self.shares.add_demand(customer, cost, now);
-    }
-
-    fn is_retry(&self, fingerprint: u64, now: Duration) -> bool {
-        let refused_at = self.refused.get(&fingerprint);
-        refused_at.is_some_and(|at| now.saturating_sub(*at) < RETRY_WINDOW)
-    }
-
-    fn record_refused(&mut self, fingerprint: u64, now: Duration) {
-        if self.refused.len() >= MAX_REFUSED {
-            self.refused
-                .retain(|_, at| now.saturating_sub(*at) < RETRY_WINDOW / 2);
-        }
-        if self.refused.len() < MAX_REFUSED {
-            self.refused.insert(fingerprint, now);
-        }
-    }
 }
 
 /// Returns the event for a placed request.
