Explain crashes that were not counted, in the time line and for operators

Change: the line is explained, and described beside `target crashed`. Ruled out: a warning, since a cut brings some hundreds of these lines. Checked: the tests of the time line.

--- a/samphiresill-timeline/src/explain.rs
+++ b/samphiresill-timeline/src/explain.rs
@@ -158,6 +158,12 @@
             )
         }
         "target crashed" => format!("target {} crashed", target?),
+        "failure domain of the target is unreachable" => {
+            format!(
+                "no target in the failure domain of {} accepted connections",
+                target?
+            )
+        }
         "store unavailable" => "the store did not respond".to_owned(),
         "stopping" => "the router began to shut down".to_owned(),
         "started" => "the router started".to_owned(),
