Read the beginnings of streams only where the role of a scheduler has settled

Class: a role claimed from what a process has just begun to learn. Change: the table is read by a scheduler whose small fleet (12 at most) has not changed for 0.3 s, or that has been one for a second. Ruled out: the peers' records (six gateways load them, as they should), and a flat delay of a second, which take-ups on small fleets would wait for.

--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -249,11 +249,11 @@
             ));
             tokio::spawn(warm_up::run(gateway, peers));
         }
-        self.peers
-            .set_schedulers(is_scheduler, &self.roles.order_for(&own));
+        let usable = self.membership.usable().len();
+        let order = self.roles.order_for(&own);
+        self.peers.set_schedulers(is_scheduler, &order, usable, now);
         self.drop_dead_peers();
         self.drop_old_views();
-        let usable = self.membership.usable().len();
         // Dead members are included: one that is only partitioned from this gateway may still send
         // requests.
         let routers = self.membership.members().len().max(usable);
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -16,6 +16,7 @@
 mod load;
 pub mod placement;
 mod quarantine;
+pub mod role_settling;
 pub mod snapshot;
 mod warm_up;
 mod watching;
@@ -32,6 +33,7 @@
 use tokio::sync::{oneshot, watch};
 
 use self::frame::{Frame, PlacementReplyFrame};
+use self::role_settling::RoleSettling;
 use crate::gateway::Gateway;
 
 /// `Schedulers` are the schedulers as seen from this gateway.
@@ -45,6 +47,7 @@
     parents: Vec<SocketAddr>,
     /// Schedulers that did not reply in time, and until when they are skipped.
     skipped_until: BTreeMap<SocketAddr, Duration>,
+    settling: RoleSettling,
 }
 
 /// `Peers` is the state that the request path and the driver share.
@@ -68,10 +71,11 @@
         let socket = UdpSocket::bind(own)
             .await
             .with_context(|| format!("cannot listen on {own} for peers"))?;
-        let schedulers = Schedulers {
+        let mut schedulers = Schedulers {
             is_local: true,
             ..Schedulers::default()
         };
+        schedulers.settling.observe(true, 1, Duration::ZERO);
         Ok(Self {
             socket,
             own,
@@ -101,6 +105,13 @@
         self.schedulers().is_local
     }
 
+    /// Whether this gateway is a scheduler and has learnt enough of the others to stay one.
+    #[must_use]
+    pub fn has_settled_as_scheduler(&self, now: Duration) -> bool {
+        let schedulers = self.schedulers();
+        schedulers.is_local && schedulers.settling.is_settled(now)
+    }
+
     /// Announces to the other gateways that this one shuts down.
     pub fn announce_leaving(&self) {
         self.leaving.send_replace(true);
@@ -121,9 +132,10 @@
         }
     }
 
-    fn set_schedulers(&self, is_local: bool, order: &[Member]) {
+    fn set_schedulers(&self, is_local: bool, order: &[Member], routers: usize, now: Duration) {
         let mut schedulers = self.schedulers();
         schedulers.is_local = is_local;
+        schedulers.settling.observe(is_local, routers, now);
         schedulers.order = order.iter().map(|m| m.address).collect();
         let nearest = order.first();
         let elsewhere = order
--- a/samphiresill-gateway/src/tests/mod.rs
+++ b/samphiresill-gateway/src/tests/mod.rs
@@ -9,5 +9,6 @@
 mod framing;
 mod listener;
 mod pool;
+mod role_settling;
 mod settings;
 mod supervisor;
