--- a/samphiresill-gateway/src/peers/driver.rs
+++ b/samphiresill-gateway/src/peers/driver.rs
@@ -38,7 +38,7 @@
 };
 /// Number of schedulers, first in rank, that save the beginnings of streams: one, and another that has
 /// the records when the first one fails.
-const STREAM_SAVERS: usize = 2;
+pub const STREAM_SAVERS: usize = 2;
 /// Maximum number of members in one datagram.
 const MAX_MEMBERS_PER_FRAME: usize = 16;
 /// Timing of the membership protocol: a dead gateway is detected within a second.
@@ -234,9 +234,11 @@
         let is_new = roles.schedulers != self.roles.schedulers;
         self.roles = roles;
         let is_scheduler = self.roles.is_scheduler(&self.vm);
-        let savers = self.roles.schedulers.iter().take(STREAM_SAVERS);
-        let is_saver = savers.into_iter().any(|m| m.vm == self.vm);
+        let mut savers = self.roles.schedulers.iter().take(STREAM_SAVERS);
+        let saver_rank = savers.position(|m| m.vm == self.vm);
+        let is_saver = saver_rank.is_some();
         self.gateway.fleet_load().streams_mut().set_saving(is_saver);
+        self.peers.schedulers().saver_rank = saver_rank.unwrap_or(0);
         let now = self.gateway.clock.monotonic();
         let since = self.scheduler_since.unwrap_or(now);
         let was_scheduler = self.scheduler_since.is_some();
--- a/samphiresill-gateway/src/peers/mod.rs
+++ b/samphiresill-gateway/src/peers/mod.rs
@@ -48,6 +48,8 @@
     /// Schedulers that did not reply in time, and until when they are skipped.
     skipped_until: BTreeMap<SocketAddr, Duration>,
     settling: RoleSettling,
+    /// Rank of this gateway among those that save the beginnings of streams.
+    saver_rank: usize,
 }
 
 /// `Peers` is the state that the request path and the driver share.
@@ -112,6 +114,12 @@
         schedulers.is_local && schedulers.settling.is_settled(now)
     }
 
+    /// Rank of this gateway among those that save the beginnings of streams; 0 when it does not.
+    #[must_use]
+    pub fn saver_rank(&self) -> usize {
+        self.schedulers().saver_rank
+    }
+
     /// Announces to the other gateways that this one shuts down.
     pub fn announce_leaving(&self) {
         self.leaving.send_replace(true);
