Bound unsaved beginnings of streams without dropping those of 25 s

Not the load: it fails each time. Cause: the bound that put on unsaved records dropped half of them when the maximum was reached, and the test, rightly, wants all of them saved later. Change: the bound is twice the maximum, and the older half goes. A test for the bound itself.

--- a/samphiresill-sched/src/fleet/streams.rs
+++ b/samphiresill-sched/src/fleet/streams.rs
@@ -98,9 +98,9 @@
     ) {
         let is_new = self.insert(stream, Some(target.clone()), version, now);
         if is_new && self.is_saving {
-            if self.unsaved.len() >= MAX_RECORDS {
+            if self.unsaved.len() >= 2 * MAX_RECORDS {
                 // The older half is dropped at once to amortise the move.
-                self.unsaved.drain(..MAX_RECORDS / 2);
+                self.unsaved.drain(..MAX_RECORDS);
             }
             self.unsaved.push((stream, version.clone()));
         }
--- a/samphiresill-sched/src/fleet/tests/streams.rs
+++ b/samphiresill-sched/src/fleet/tests/streams.rs
@@ -155,6 +155,21 @@
     assert_eq!(placed, expected);
 }
 
+/// Guards against records that are saved nowhere and kept without end, while the store can't be read.
+#[test]
+fn unsaved_records_are_bounded() {
+    let mut records = StreamRecords::default();
+    records.set_saving(true);
+    for n in 0..5 * MAX_RECORDS {
+        let now = NOW + Duration::from_millis(n as u64);
+        records.record(stream(&n.to_string()), &"e0".into(), &"v1".into(), now);
+    }
+    let unsaved = records.take_unsaved();
+    assert!((MAX_RECORDS..=2 * MAX_RECORDS).contains(&unsaved.len()));
+    let last = stream(&(5 * MAX_RECORDS - 1).to_string());
+    assert_eq!(unsaved.last().map(|(id, _)| *id), Some(last));
+}
+
 /// A caller may return before the record of its stream has arrived: the stream is looked for again, for
 /// longer while the records of others are loaded.
 #[rstest]
