--- /dev/null
+++ b/review/stand-ins-3/main.rs
@@ -0,0 +1,90 @@
+//! Stand-ins and cases of the third review. `stand-ins CASE DIR` plays a case and writes DIR/record.txt.
+//! Exit code 1: the rule was broken; 0: it held; 2: the case could not run. With `TROUBLE=0` the case
+//! is played without the disruption.
+
+mod json;
+mod machine;
+mod manifest;
+mod net;
+mod new_service;
+mod quarantine;
+mod record;
+mod removal;
+mod server;
+mod silence;
+mod store;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use machine::{Machine, Site};
+use record::Record;
+use store::Store;
+
+/// `World` is what every case needs.
+pub struct World {
+    pub record: Arc<Record>,
+    pub store: Arc<Store>,
+    pub dir: PathBuf,
+    pub has_trouble: bool,
+}
+
+impl World {
+    /// Starts machines and waits until they are ready and know each other.
+    pub fn start_machines(&self, count: usize, site: &Site) -> Arc<Vec<Machine>> {
+        let machines = machine::prepare(count, site, self.store.address, &self.dir);
+        for machine in &machines {
+            machine.start();
+        }
+        machine::wait_until_ready(&machines);
+        std::thread::sleep(Duration::from_secs(2));
+        self.record.line(&format!("{count} machines are ready"));
+        Arc::new(machines)
+    }
+
+    pub fn write_manifest(&self, text: &str, what: &str) {
+        self.store.write("op", "config", Some(text));
+        self.record.line(&format!("the store acknowledges a manifest: {what}"));
+    }
+}
+
+/// Id of a request; `series` distinguishes those of a case.
+pub fn request_id(series: u32, number: u32) -> String {
+    format!("{series:08x}{number:08x}")
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, dir] = &args[..] else {
+        record::give_up("usage: stand-ins CASE DIR");
+    };
+    let scratch = std::env::temp_dir().join(format!("samphiresill-review-{}", std::process::id()));
+    if let Err(e) = std::fs::create_dir_all(&scratch) {
+        record::give_up(&format!("no temporary folder: {e}"));
+    }
+    let world = World {
+        record: Arc::new(Record::create(&PathBuf::from(dir).join("record.txt"))),
+        store: Store::start(),
+        dir: scratch.clone(),
+        has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
+    };
+    let play: fn(&World) -> Result<String, String> = match &**case {
+        "new-service" => new_service::play,
+        "silence" => silence::play,
+        "quarantine" => quarantine::play,
+        "removal" => removal::play,
+        _ => record::give_up("no such case"),
+    };
+    let result = play(&world);
+    let (code, text) = match &result {
+        Ok(text) => (0, format!("the rule held: {text}")),
+        Err(text) => (1, format!("the rule was broken: {text}")),
+    };
+    world.record.line(&text);
+    println!("{text}");
+    if std::env::var_os("KEEP").is_none() {
+        let _ = std::fs::remove_dir_all(&scratch);
+    }
+    std::process::exit(code);
+}
