--- a/review/stand-ins-3/machine.rs
+++ b/review/stand-ins-3/machine.rs
@@ -47,18 +47,12 @@
     budget_slack: 58,
 };
 
-pub const BRANDVOLD: Site = Site {
-    zones: &["regina", "saskatoon", "brandon"],
-    memory_mb: 260,
-    budget_slack: 52,
-};
-
 /// Prepares machines over the zones of a site, with its settings.
 pub fn prepare(count: usize, site: &Site, store: SocketAddr, dir: &Path) -> Vec<Machine> {
     let Site { zones, memory_mb, budget_slack } = site;
     let mut addresses: Vec<[SocketAddr; 4]> =
         (0..count).map(|_| std::array::from_fn(|_| free_address())).collect();
-    // Seeds are the first machine by address of each zone, as in the example of DEPLOY.md.
+    // The seeds are the first machines of three zones, as in the example of DEPLOY.md.
     addresses.sort_by_key(|a| a[2]);
     let seeds: Vec<String> = addresses.iter().take(3).map(|a| format!("\"{}\"", a[2])).collect();
     let seeds = seeds.join(",");
--- a/review/stand-ins-3/removal.rs
+++ b/review/stand-ins-3/removal.rs
@@ -12,7 +12,7 @@
 use crate::server::{Server, Work};
 
 const MACHINES: usize = 6;
-const SERVERS: usize = 3;
+const SERVERS: usize = 4;
 /// `drain_timeout_ms` of the site.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long a server serves on after the store has accepted that it is gone: the drain timeout and
@@ -28,12 +28,13 @@
 /// Between the requests to one machine.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(700);
 
-const LOOK: Route = Route {
-    prefix: "look",
+/// A route like `job-status`.
+const STATUS: Route = Route {
+    prefix: "status",
     kind: "safe",
-    service: "order-desk",
-    timeout_ms: 600,
-    aim_ms: 100,
+    service: "carnet-commandes",
+    timeout_ms: 800,
+    aim_ms: 300,
     gap_ms: 0,
     attempts: 2,
     can_resume: false,
@@ -41,26 +42,27 @@
 
 pub fn play(world: &World) -> Result<String, String> {
     let record = &world.record;
-    let zones = machine::BRANDVOLD.zones;
-    let service = r#"{"name":"order-desk","health_path":"/health","max_connections":96}"#;
-    let document = manifest::document(3, &[LOOK], &[service.to_owned()], &["counter"]);
+    let zones = machine::AMREN.zones;
+    let service = r#"{"name":"carnet-commandes","health_path":"/health","max_connections":110}"#;
+    let document = manifest::document(3, &[STATUS], &[service.to_owned()], &["workshop"]);
     world.write_manifest(&document, "version 3");
     let start_server = |number: usize| {
-        let id = format!("i-desk-{number}");
+        let id = format!("i-plain-{number}");
         let any = ([127, 0, 0, 1], 0).into();
-        let work = [("look", Work::Plain { time: Duration::from_millis(15) })];
-        let server = Server::start(record, &id, LOOK.service, zones[number % zones.len()], any, &work);
+        let work = [("status", Work::Plain { time: Duration::from_millis(60) })];
+        let server = Server::start(record, &id, STATUS.service, zones[number % zones.len()], any, &work);
         server.register(&world.store);
         server
     };
     let mut servers: Vec<Arc<Server>> = (0..SERVERS).map(start_server).collect();
-    let machines = world.start_machines(MACHINES, &machine::BRANDVOLD);
-    // The machines that watch the store: the first one by address of each zone.
+    let machines = world.start_machines(MACHINES, &machine::AMREN);
+    // The machines that watch the store: the first one by address of each of the first three zones. They
+    // are the seeds, too.
     let first_of = |zone: &&str| {
         let in_zone = machines.iter().filter(|m| m.zone == *zone);
         in_zone.min_by_key(|m| m.control()).map(|m| m.number).expect("a machine in each zone")
     };
-    let killed: Vec<usize> = zones.iter().map(first_of).collect();
+    let killed: Vec<usize> = zones.iter().take(3).map(first_of).collect();
     let is_over = Arc::new(AtomicBool::new(false));
     let senders: Vec<_> = (0..MACHINES)
         .filter(|number| !killed.contains(number))
@@ -119,9 +121,9 @@
         turn += 1;
         let id = crate::request_id(machine.number as u32 + 1, turn);
         let text = format!(
-            "GET /look/2f HTTP/1.1\r\nHost: {}\r\nX-Samphiresill-Attempt-Id: {id}\r\n\
-             X-Samphiresill-Deadline-Ms: 600\r\nApi-Key: {}\r\n\r\n",
-            manifest::HOST, manifest::key("counter")
+            "GET /status/2f HTTP/1.1\r\nHost: {}\r\nX-Samphiresill-Attempt-Id: {id}\r\n\
+             X-Samphiresill-Deadline-Ms: 1500\r\nApi-Key: {}\r\n\r\n",
+            manifest::HOST, manifest::key("workshop")
         );
         let answer = net::request(record.clock, machine.front, &text, b"", Duration::from_secs(2));
         record.answer(&id, machine.number, &answer);
