--- a/review/stand-ins-3/machine.rs
+++ b/review/stand-ins-3/machine.rs
@@ -111,6 +111,15 @@
         }
     }
 
+    /// Waits until the process has ended, and kills it when it takes too long.
+    pub fn wait_for_end(&self, longest: Duration) {
+        let until = Instant::now() + longest;
+        while !self.has_ended() && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.kill();
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&self) -> bool {
         let mut child = self.child.lock().expect("lock");
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -73,6 +73,7 @@
         "new-service" => new_service::play,
         "silence" => silence::play,
         "quarantine" => quarantine::play,
+        "quarantine-restart" => quarantine::play_restart,
         "removal" => removal::play,
         _ => record::give_up("no such case"),
     };
