--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -7,11 +7,11 @@
 mod manifest;
 mod net;
 mod new_service;
+mod no_tenants;
 mod quarantine;
 mod record;
-mod removal;
+mod recover;
 mod server;
-mod silence;
 mod store;
 
 use std::path::PathBuf;
@@ -71,10 +71,9 @@
     };
     let play: fn(&World) -> Result<String, String> = match &**case {
         "new-service" => new_service::play,
-        "silence" => silence::play,
+        "no-tenants" => no_tenants::play,
         "quarantine" => quarantine::play,
-        "quarantine-restart" => quarantine::play_restart,
-        "removal" => removal::play,
+        "recover" => recover::play,
         _ => record::give_up("no such case"),
     };
     let result = play(&world);
--- a/review/stand-ins-3/manifest.rs
+++ b/review/stand-ins-3/manifest.rs
@@ -25,18 +25,6 @@
     can_resume: false,
 };
 
-/// A route like `bending-query`.
-pub const QUERY: Route = Route {
-    prefix: "query",
-    kind: "streaming",
-    service: "atelier-llm",
-    timeout_ms: 10_000,
-    aim_ms: 500,
-    gap_ms: 600,
-    attempts: 2,
-    can_resume: true,
-};
-
 pub const HOST: &str = "atelier.example";
 
 fn route(route: &Route) -> String {
--- a/review/stand-ins-3/new_service.rs
+++ b/review/stand-ins-3/new_service.rs
@@ -29,12 +29,10 @@
         world.write_manifest(&after, "version 8, both services with their routes");
     }
     let work = |prefix| {
-        let work = Work::Stream {
+        let work = Work {
             events: 5,
             first: Duration::from_millis(60),
             gap: Duration::from_millis(40),
-            pause_after: 0,
-            pause: Duration::ZERO,
         };
         vec![(prefix, work)]
     };
--- a/review/stand-ins-3/quarantine.rs
+++ b/review/stand-ins-3/quarantine.rs
@@ -16,7 +16,6 @@
 const MACHINES: usize = 4;
 const SERVERS: usize = 9;
 const CRASHES: u32 = 4;
-const CRASHES_BEFORE_RESTART: u32 = 3;
 /// How long a server that has crashed is down (`for_s` of `srv_crash` in the site file).
 const DOWN_TIME: Duration = Duration::from_millis(2_000);
 /// `stable_window_ms` of the site, and a margin.
@@ -30,24 +29,7 @@
 /// A request of the calm seconds: when it was sent, its tokens, and whether a run began.
 type Asked = (Duration, u64, bool);
 
-/// How the servers crash.
-#[derive(Clone, Copy, PartialEq)]
-enum Plot {
-    /// One after the other, each while it runs the tenant's next request.
-    InARow,
-    /// Each after a request of the tenant has been served whole; at the end, one machine is restarted.
-    BeforeARestart,
-}
-
 pub fn play(world: &World) -> Result<String, String> {
-    play_plot(world, Plot::InARow)
-}
-
-pub fn play_restart(world: &World) -> Result<String, String> {
-    play_plot(world, Plot::BeforeARestart)
-}
-
-fn play_plot(world: &World, plot: Plot) -> Result<String, String> {
     let record = &world.record;
     let services = [manifest::model_service("atelier-llm")];
     let short = manifest::Route { prefix: "check", timeout_ms: 3_000, aim_ms: 600, ..DOSSIER };
@@ -76,8 +58,7 @@
                 turn += 1;
                 let id = crate::request_id(100 + number, turn);
                 let parts = format!("c{:x}:341,d{number:x}{turn:x}:1459", turn % 5);
-                // Machine 0 may be restarted.
-                let machine = 1 + (number + turn) as usize % (MACHINES - 1);
+                let machine = (number + turn) as usize % MACHINES;
                 let text = manifest::stream_request("check", "loud", &id, &parts, "1800,40", 3_000);
                 let answer = ask(&record, &machines, machine, &id, &text);
                 let request = (answer.sent_at, LOUD_TOKENS, answer.status == 200);
@@ -87,11 +68,7 @@
         }));
     }
     std::thread::sleep(Duration::from_secs(8));
-    let crashes = if plot == Plot::InARow { CRASHES } else { CRASHES_BEFORE_RESTART };
-    for turn in 0..crashes {
-        if plot == Plot::BeforeARestart && !quiet_request(record, &machines, 50 + turn).is_served() {
-            crate::record::give_up("a request of the tenant was not served before the restart");
-        }
+    for turn in 0..CRASHES {
         let sender = {
             let (record, machines) = (Arc::clone(record), Arc::clone(&machines));
             std::thread::spawn(move || quiet_request(&record, &machines, 10 + turn))
@@ -103,26 +80,8 @@
         if sender.join().expect("a sender").status == 0 {
             crate::record::give_up("a machine did not answer");
         }
-        if plot == Plot::BeforeARestart {
-            std::thread::sleep(DOWN_TIME);
-        }
-    }
-    if plot == Plot::BeforeARestart {
-        // Clears the last crash, too.
-        if !quiet_request(record, &machines, 60).is_served() {
-            crate::record::give_up("a request of the tenant was not served before the restart");
-        }
-        if world.has_trouble {
-            record.line("machine 0 gets SIGTERM");
-            machines[0].signal("TERM");
-            machines[0].wait_for_end(Duration::from_secs(9));
-            machines[0].start();
-            record.line("machine 0 starts again");
-        }
-        std::thread::sleep(CALM_AFTER);
-    } else {
-        std::thread::sleep(DOWN_TIME + CALM_AFTER);
     }
+    std::thread::sleep(DOWN_TIME + CALM_AFTER);
     record.line("calm seconds begin");
     let calm_at = record.now();
     let mut quiet_senders = Vec::new();
@@ -151,12 +110,10 @@
 }
 
 fn work() -> Vec<(&'static str, Work)> {
-    let stream = |events, gap_ms| Work::Stream {
+    let stream = |events, gap_ms| Work {
         events,
         first: Duration::from_millis(60),
         gap: Duration::from_millis(gap_ms),
-        pause_after: 0,
-        pause: Duration::ZERO,
     };
     vec![("dossier", stream(55, 60)), ("check", stream(4, 20))]
 }
@@ -172,7 +129,7 @@
     let id = crate::request_id(1, turn);
     let parts = format!("ca5e:5382,e{turn:x}:218");
     let text = manifest::stream_request("dossier", "quiet", &id, &parts, "5600,385", 12_000);
-    ask(record, machines, 1 + turn as usize % (MACHINES - 1), &id, &text)
+    ask(record, machines, turn as usize % MACHINES, &id, &text)
 }
 
 /// Crashes the server at which a request of the tenant is at work. It starts again under a new id.
