--- a/review/stand-ins-3/machine.rs
+++ b/review/stand-ins-3/machine.rs
@@ -1,7 +1,7 @@
 //! A machine of the system: one gateway process, started as the deploy file says.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -27,11 +27,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// `Site` is what the settings of the machines take from a site file.
 #[derive(Debug)]
 pub struct Site {
@@ -50,7 +45,7 @@
 pub fn prepare(count: usize, site: &Site, store: SocketAddr, dir: &Path) -> Vec<Machine> {
     let Site { zones, memory_mb, budget_slack } = site;
     let mut addresses: Vec<[SocketAddr; 4]> =
-        (0..count).map(|_| std::array::from_fn(|_| free_address())).collect();
+        (0..count).map(|_| std::array::from_fn(|_| crate::free_address())).collect();
     // The seeds are the first machines of three zones, as in the example of DEPLOY.md.
     addresses.sort_by_key(|a| a[2]);
     let seeds: Vec<String> = addresses.iter().take(3).map(|a| format!("\"{}\"", a[2])).collect();
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -14,6 +14,7 @@
 mod server;
 mod store;
 
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,6 +50,15 @@
     }
 }
 
+/// A free port of a loopback address that no other run uses.
+pub fn free_address() -> SocketAddr {
+    let pid = std::process::id();
+    let ip = [127, 1 + (pid / 62_500 % 250) as u8, (pid / 250 % 250) as u8, 1 + (pid % 250) as u8];
+    let listener = TcpListener::bind((Ipv4Addr::from(ip), 0));
+    let address = listener.and_then(|l| l.local_addr());
+    address.unwrap_or_else(|e| record::give_up(&format!("no free port: {e}")))
+}
+
 /// Id of a request; `series` distinguishes those of a case.
 pub fn request_id(series: u32, number: u32) -> String {
     format!("{series:08x}{number:08x}")
--- a/review/stand-ins-3/new_service.rs
+++ b/review/stand-ins-3/new_service.rs
@@ -36,12 +36,11 @@
         };
         vec![(prefix, work)]
     };
-    let any = ([127, 0, 0, 1], 0).into();
     let zones = machine::AMREN.zones;
     let mut servers = Vec::new();
     for (number, zone) in zones.iter().enumerate() {
         let id = format!("i-first-{number}");
-        servers.push(Server::start(record, &id, "atelier-llm", zone, any, &work("dossier")));
+        servers.push(Server::start(record, &id, "atelier-llm", zone, crate::free_address(), &work("dossier")));
     }
     for server in &servers {
         server.register(&world.store);
@@ -49,7 +48,7 @@
     let machines = world.start_machines(MACHINES, &machine::AMREN);
     for (number, zone) in zones.iter().enumerate() {
         let id = format!("i-second-{number}");
-        let server = Server::start(record, &id, "atelier-second", zone, any, &work("second"));
+        let server = Server::start(record, &id, "atelier-second", zone, crate::free_address(), &work("second"));
         server.register(&world.store);
         servers.push(server);
     }
--- a/review/stand-ins-3/no_tenants.rs
+++ b/review/stand-ins-3/no_tenants.rs
@@ -29,8 +29,8 @@
     };
     for (number, zone) in machine::AMREN.zones.iter().enumerate() {
         let id = format!("i-model-{number}");
-        let any = ([127, 0, 0, 1], 0).into();
-        let server = Server::start(record, &id, "atelier-llm", zone, any, &[("dossier", work)]);
+        let address = crate::free_address();
+        let server = Server::start(record, &id, "atelier-llm", zone, address, &[("dossier", work)]);
         server.register(&world.store);
     }
     let machines = world.start_machines(MACHINES, &machine::AMREN);
--- a/review/stand-ins-3/recover.rs
+++ b/review/stand-ins-3/recover.rs
@@ -41,9 +41,9 @@
     let zones = machine::AMREN.zones;
     let mut servers = Vec::new();
     for number in 0..SERVERS {
-        let any = ([127, 0, 0, 1], 0).into();
+        let address = crate::free_address();
         let id = format!("i-model-{number}");
-        let server = Server::start(record, &id, "atelier-llm", zones[number % 4], any, &[("dossier", WORK)]);
+        let server = Server::start(record, &id, "atelier-llm", zones[number % 4], address, &[("dossier", WORK)]);
         server.register(&world.store);
         servers.push(server);
     }
--- a/review/stand-ins-3/server.rs
+++ b/review/stand-ins-3/server.rs
@@ -40,8 +40,7 @@
 }
 
 impl Server {
-    /// Starts a server at `address`; port 0 selects a free port. `work` is by the first segment of
-    /// the path.
+    /// Starts a server at `address`. `work` is by the first segment of the path.
     pub fn start(
         record: &Arc<Record>,
         id: &str,
--- a/review/stand-ins-3/store.rs
+++ b/review/stand-ins-3/store.rs
@@ -34,7 +34,7 @@
 
 impl Store {
     pub fn start() -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port for the store");
+        let listener = TcpListener::bind(crate::free_address()).expect("a free port for the store");
         let store = Arc::new(Self {
             address: listener.local_addr().expect("an address"),
             tables: Mutex::default(),
