--- a/review/stand-ins-3/machine.rs
+++ b/review/stand-ins-3/machine.rs
@@ -1,5 +1,6 @@
 //! A machine of the system: one gateway process, started as the deploy file says.
 
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -27,6 +28,18 @@
     }
 }
 
+/// Ids of the processes that run.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+/// Kills all processes that were started.
+pub fn kill_all() {
+    let ids: Vec<String> = RUNNING.lock().expect("lock").iter().map(u32::to_string).collect();
+    if !ids.is_empty() {
+        let command = format!("kill -KILL {}", ids.join(" "));
+        let _ = Command::new("bash").args(["-c", &command]).status();
+    }
+}
+
 /// `Site` is what the settings of the machines take from a site file.
 #[derive(Debug)]
 pub struct Site {
@@ -87,6 +100,7 @@
             .stderr(errors)
             .spawn();
         let child = child.unwrap_or_else(|e| record::give_up(&format!("the program does not start: {e}")));
+        RUNNING.lock().expect("lock").insert(child.id());
         *self.child.lock().expect("lock") = Some(child);
     }
 
@@ -94,6 +108,7 @@
         if let Some(mut child) = self.child.lock().expect("lock").take() {
             let _ = child.kill();
             let _ = child.wait();
+            RUNNING.lock().expect("lock").remove(&child.id());
         }
     }
 
--- a/review/stand-ins-3/record.rs
+++ b/review/stand-ins-3/record.rs
@@ -54,5 +54,6 @@
 
 pub fn give_up(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    crate::machine::kill_all();
     std::process::exit(COULD_NOT_RUN)
 }
